--- /dev/null
+++ b/include/skylarkshunt/configuration/config_record.h
@@ -0,0 +1,23 @@
+#ifndef SKYLARKSHUNT_CONFIGURATION_CONFIG_RECORD_H_
+#define SKYLARKSHUNT_CONFIGURATION_CONFIG_RECORD_H_
+
+#include <string>
+
+#include "skylarkshunt/base/ids.h"
+
+namespace skylarkshunt {
+
+/// One object of configuration as the nodes hand it on: "services/NAME" or
+/// "drains/TARGETUID" (16 hexadecimal digits). The highest revision of a key
+/// wins, whatever its source.
+struct ConfigRecord {
+  std::string key;
+  Revision revision{};
+  bool deleted = false;
+  /// JSON text of the object; empty when deleted.
+  std::string body;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_CONFIGURATION_CONFIG_RECORD_H_
--- /dev/null
+++ b/include/skylarkshunt/flows/agent_core.h
@@ -0,0 +1,190 @@
+#ifndef SKYLARKSHUNT_FLOWS_AGENT_CORE_H_
+#define SKYLARKSHUNT_FLOWS_AGENT_CORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "skylarkshunt/base/error.h"
+#include "skylarkshunt/configuration/service_config.h"
+#include "skylarkshunt/link/messages.h"
+#include "skylarkshunt/membership/instance_record.h"
+
+namespace skylarkshunt {
+
+/// Number of one run of a request at the target, unique in a process.
+enum class RunId : uint64_t {};
+
+/// Sends an answer to the entry that speaks with the caller.
+struct SendReply {
+  Endpoint entry;
+  Reply reply;
+};
+/// Passes a message on to another agent.
+struct SendForward {
+  Endpoint agent;
+  Forward forward;
+};
+/// Starts a request at the target; OnRunEnded() must follow for `run`.
+struct StartRun {
+  RunId run{};
+  RequestId request_id;
+  std::string kind;
+  std::string body;
+  absl::Time deadline;
+};
+/// Asks a worker to cancel a run; OnRunEnded() still follows.
+struct CancelRun {
+  RunId run{};
+};
+/// The agent's announced state or incarnation changed.
+struct StateChanged {
+  InstanceState state = InstanceState::kServing;
+  Incarnation incarnation{};
+};
+/// All work has ended after BeginShutdown(); the process may leave.
+struct ShutdownComplete {};
+/// A decision to log.
+struct AgentDecision {
+  enum class Kind {
+    kFlowAccepted,
+    kRequestQueued,
+    kRequestStarted,
+    kRequestRefused,
+    kPassedOn,
+    kTransferred,
+    kBindingIssued,
+    kRepeatIgnored,
+    kOutcomeUnknown,
+    kLeaseLapsed,
+    kEjected,
+    kRestored,
+    kBindingsRevoked,
+    kDrainBegan,
+    kDrainEnded,
+    kConfigApplied,
+  };
+  Kind kind = Kind::kFlowAccepted;
+  RequestId request_id;
+  FlowKey flow{};
+  Reason reason = Reason::kNone;
+  InstanceUid other{};
+  /// Running and queued requests per slot, in thousandths.
+  uint16_t load = 0;
+};
+
+using AgentAction = std::variant<SendReply,
+                                 SendForward,
+                                 StartRun,
+                                 CancelRun,
+                                 StateChanged,
+                                 ShutdownComplete,
+                                 AgentDecision>;
+using AgentActions = std::vector<AgentAction>;
+
+/// How a run at the target ended.
+struct RunResult {
+  enum class Kind {
+    kAnswered,        ///< The target answered with `status` and `body`.
+    kNotSent,         ///< No connection; the target saw nothing.
+    kConnectionLost,  ///< The target may or may not have run it.
+    kTimedOut,        ///< As kConnectionLost, at the deadline.
+  };
+  Kind kind = Kind::kAnswered;
+  uint16_t status = 0;
+  std::string body;
+  /// The target said in its answer that it shed the request unrun (503 with
+  /// the header "X-Not-Run: 1").
+  bool shed_unrun = false;
+};
+
+/// Plain numbers for counters and status.
+struct AgentStats {
+  uint64_t flows = 0;
+  uint64_t running = 0;
+  uint64_t queued = 0;
+  uint64_t ledger_entries = 0;
+  uint64_t retained_answer_bytes = 0;
+  uint64_t completed = 0;
+  uint64_t refused = 0;
+  uint64_t passed_on = 0;
+  uint64_t transferred = 0;
+  uint64_t repeats = 0;
+  uint64_t outcome_unknown = 0;
+  uint64_t lease_lapses = 0;
+  uint64_t retries = 0;
+  uint64_t effective_slots = 0;
+};
+
+/// What an agent's policy does differently from the product's, for baselines of
+/// measurements only.
+struct AgentPolicy {
+  /// First come first served, without kinds or learned durations.
+  bool first_come_first_served = false;
+  /// Never passes an opening request on for load, nor transfers.
+  bool no_second_candidate = false;
+  /// Retries without a budget.
+  bool no_retry_budget = false;
+};
+
+/// All decisions of the agent beside one target: flows, bindings, at-most-once
+/// ledger, admission, retries, ejection, drain. A pure state machine: time goes
+/// in with each event, from a clock that goes on while the process is
+/// suspended. Not thread-safe; the agent's data thread owns it.
+class AgentCore {
+ public:
+  struct Options {
+    InstanceUid uid{};
+    Incarnation incarnation{};
+    ServiceUid service{};
+    AgentPolicy policy;
+    uint64_t random_seed = 1;
+  };
+
+  /// Errors: kInvalidArgument for a zero uid or incarnation.
+  static Result<std::unique_ptr<AgentCore>> Create(Options options);
+  virtual ~AgentCore() = default;
+
+  /// Puts the service's configuration into force. Until the first call every
+  /// request is refused as not run. `revision` older than the one in force is
+  /// ignored.
+  virtual AgentActions OnConfig(absl::Time now,
+                                Revision revision,
+                                const ServiceConfig& config) = 0;
+  /// The service was removed: no new flows, bound ones end as in a drain.
+  virtual AgentActions OnServiceRemoved(absl::Time now, Revision revision) = 0;
+  /// A datagram from an entry or another agent.
+  virtual AgentActions OnForward(absl::Time now, const Forward& forward) = 0;
+  /// The run has ended. Unknown run numbers are ignored.
+  virtual AgentActions OnRunEnded(absl::Time now,
+                                  RunId run,
+                                  const RunResult& result) = 0;
+  /// Called about every kAgentTick; a gap beyond kAgentLease is a pause in
+  /// which the lease lapsed. Also called before each other event.
+  virtual AgentActions OnTick(absl::Time now) = 0;
+  /// What the target's health end point says; a hint, never the only evidence.
+  virtual AgentActions OnHealthHint(absl::Time now, bool healthy) = 0;
+  /// The operator's drain order.
+  virtual AgentActions OnDrainOrder(absl::Time now, bool drain) = 0;
+  /// A relay knows a higher incarnation, or the process must take a new one.
+  virtual AgentActions OnNewIncarnation(absl::Time now,
+                                        Incarnation incarnation) = 0;
+  /// Drains and, when all work has ended, emits ShutdownComplete.
+  virtual AgentActions BeginShutdown(absl::Time now) = 0;
+
+  virtual AgentStats Stats() const = 0;
+  virtual Incarnation incarnation() const = 0;
+  virtual InstanceState state() const = 0;
+};
+
+/// Time between two calls of OnTick().
+inline constexpr absl::Duration kAgentTick = absl::Milliseconds(50);
+/// A longer time without a tick means that the process was paused.
+inline constexpr absl::Duration kAgentLease = absl::Seconds(2);
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_FLOWS_AGENT_CORE_H_
--- /dev/null
+++ b/include/skylarkshunt/placement/policy.h
@@ -0,0 +1,17 @@
+#ifndef SKYLARKSHUNT_PLACEMENT_POLICY_H_
+#define SKYLARKSHUNT_PLACEMENT_POLICY_H_
+
+namespace skylarkshunt {
+
+/// How an entry orders candidates for an opening request. All but kHunting are
+/// baselines for measurements.
+enum class PlacementPolicy {
+  kHunting,     ///< Candidate list, settled by the agents' own load.
+  kHash,        ///< The first candidate only.
+  kRandom,      ///< One target drawn at random.
+  kRoundRobin,  ///< The targets in turn.
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_PLACEMENT_POLICY_H_
--- /dev/null
+++ b/include/skylarkshunt/placement/router.h
@@ -0,0 +1,114 @@
+#ifndef SKYLARKSHUNT_PLACEMENT_ROUTER_H_
+#define SKYLARKSHUNT_PLACEMENT_ROUTER_H_
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <variant>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "skylarkshunt/base/error.h"
+#include "skylarkshunt/link/messages.h"
+#include "skylarkshunt/placement/policy.h"
+#include "skylarkshunt/placement/routing_snapshot.h"
+
+namespace skylarkshunt {
+
+/// Sends a message to the agent at `agent`.
+struct RouteToAgent {
+  Endpoint agent;
+  Forward forward;
+};
+/// Answers the caller at `caller`.
+struct RouteToCaller {
+  Endpoint caller;
+  Answer answer;
+};
+/// Drops a message that has no answer, such as a Done for an unknown service.
+struct RouteNowhere {};
+
+using RouteAction = std::variant<RouteToAgent, RouteToCaller, RouteNowhere>;
+
+/// How a caller's message was routed.
+enum class RouteKind {
+  kBound,         ///< To the target that its binding names.
+  kOpening,       ///< A new flow, along the candidate list.
+  kUnbound,       ///< An established flow without a binding, along the list.
+  kUnknownBound,  ///< The binding names a target that this entry does not know.
+  kMoved,         ///< A repeat that leaves a silent target.
+  kRefused,       ///< Answered by the entry itself.
+};
+
+/// One routing decision, for the log and the counters.
+struct RouteDecision {
+  RouteKind kind = RouteKind::kRefused;
+  FlowKey flow{};
+  RequestId request_id;
+  InstanceUid target{};
+  Reason reason = Reason::kNone;
+};
+
+/// A routing action with the decision behind it.
+struct RouteResult {
+  RouteAction action;
+  RouteDecision decision;
+};
+
+/// The routing decisions of an entry. Holds no state of flows; the load reports
+/// it keeps are hints. Not thread-safe; the data thread owns it.
+class Router {
+ public:
+  struct Options {
+    /// Where agents send replies: the entry's data end point.
+    Endpoint entry;
+    Incarnation incarnation{};
+    PlacementPolicy policy = PlacementPolicy::kHunting;
+    /// Seed of the random baseline.
+    uint64_t random_seed = 1;
+  };
+
+  /// Errors: kInvalidArgument for a zero incarnation.
+  static Result<std::unique_ptr<Router>> Create(const Options& options);
+
+  /// Routes by `snapshot` from now on. Precondition: not null.
+  void UseSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+
+  /// Decides about one message of the caller at `caller`.
+  RouteResult OnCallerMessage(absl::Time now,
+                              Endpoint caller,
+                              CallerMessage message);
+
+  /// Takes an agent's reply and returns what the caller gets.
+  RouteToCaller OnReply(absl::Time now, Reply reply);
+
+ private:
+  struct LoadReport {
+    uint16_t load = 0;
+    absl::Time at;
+  };
+
+  explicit Router(const Options& options);
+
+  RouteResult RouteRequest(absl::Time now, Endpoint caller, Request request);
+  RouteResult RouteFollowUp(Endpoint caller, CallerMessage message);
+  Forward NewForward(const RoutedService& service,
+                     Endpoint caller,
+                     CallerMessage message) const;
+  void OrderCandidates(absl::Time now,
+                       const RoutedService& service,
+                       const Request& request,
+                       CandidateList& list);
+  void PreferLowerLoad(absl::Time now, CandidateList& list) const;
+
+  const Options options_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  absl::flat_hash_map<InstanceUid, LoadReport> loads_;
+  std::mt19937_64 random_;
+  uint64_t round_robin_ = 0;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_PLACEMENT_ROUTER_H_
--- /dev/null
+++ b/include/skylarkshunt/placement/routing_snapshot.h
@@ -0,0 +1,56 @@
+#ifndef SKYLARKSHUNT_PLACEMENT_ROUTING_SNAPSHOT_H_
+#define SKYLARKSHUNT_PLACEMENT_ROUTING_SNAPSHOT_H_
+
+#include <memory>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
+#include "absl/types/span.h"
+#include "skylarkshunt/configuration/config_record.h"
+#include "skylarkshunt/configuration/service_config.h"
+#include "skylarkshunt/membership/instance_record.h"
+#include "skylarkshunt/placement/service_table.h"
+
+namespace skylarkshunt {
+
+/// One service as an entry routes it.
+struct RoutedService {
+  ServiceConfig config;
+  Revision revision{};
+  /// Targets that may take new flows.
+  std::shared_ptr<const ServiceTable> table;
+};
+
+/// What an entry knows of services and targets at one time. Immutable and
+/// thread-safe; the control thread builds a new one for the data thread.
+class RoutingSnapshot {
+ public:
+  /// Builds a snapshot. Tables whose targets did not change are taken from
+  /// `previous`, which may be null. Records of configuration that do not parse
+  /// keep the service's state of `previous`.
+  static std::shared_ptr<const RoutingSnapshot> Build(
+      absl::string_view region,
+      absl::Span<const InstanceRecord> instances,
+      absl::Span<const ConfigRecord> config,
+      const std::shared_ptr<const RoutingSnapshot>& previous);
+
+  /// Returns the service named `name`, or null.
+  const RoutedService* FindService(absl::string_view name) const;
+  /// Returns the target, in any state but down, or null.
+  const Candidate* FindTarget(InstanceUid uid) const;
+  /// Number of services in force.
+  size_t service_count() const { return services_.size(); }
+  /// Number of targets that are not down.
+  size_t target_count() const { return targets_.size(); }
+
+ private:
+  RoutingSnapshot() = default;
+
+  absl::flat_hash_map<std::string, RoutedService> services_;
+  absl::flat_hash_map<InstanceUid, Candidate> targets_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_PLACEMENT_ROUTING_SNAPSHOT_H_
--- /dev/null
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -0,0 +1,78 @@
+#ifndef SKYLARKSHUNT_PLATFORM_PLATFORM_CLIENT_H_
+#define SKYLARKSHUNT_PLATFORM_PLATFORM_CLIENT_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "skylarkshunt/base/endpoint.h"
+#include "skylarkshunt/base/error.h"
+#include "skylarkshunt/configuration/config_record.h"
+
+namespace skylarkshunt {
+
+/// All objects below a prefix at one revision of the platform.
+struct ObjectList {
+  Revision revision{};
+  std::vector<ConfigRecord> objects;
+};
+
+/// Changes of a watch; empty when the wait ended without one.
+struct WatchBatch {
+  /// Where the next watch goes on.
+  Revision revision{};
+  std::vector<ConfigRecord> changes;
+};
+
+/// Blocking HTTP client of the platform's object API. Not thread-safe: one
+/// client per thread. Every call ends within the timeout of the options.
+///
+/// Protocol (JSON over HTTP/1.1):
+///   GET    /v1/objects/KEY             200 {"key","revision","body"} | 404
+///   GET    /v1/objects?prefix=P        200 {"revision","objects":[...]}
+///   PUT    /v1/objects/KEY  body JSON; If-Match: "REV" or If-None-Match: *
+///                                      200 {"revision"} | 412 {"revision"}
+///   DELETE /v1/objects/KEY  If-Match   200 {"revision"} | 404 | 412
+///   GET    /v1/watch?prefix=P&after=REV&wait_ms=N
+///            200 {"revision","changes":[{"key","revision","deleted","body"}]}
+///            410 when changes after REV are no longer held: list again
+///   429 when more calls come than the platform takes, 503 when it is down.
+class PlatformClient {
+ public:
+  struct Options {
+    Endpoint platform;
+    absl::Duration timeout = absl::Seconds(2);
+  };
+
+  static Result<std::unique_ptr<PlatformClient>> Create(const Options& options);
+  virtual ~PlatformClient() = default;
+
+  /// Errors: kNotFound, kUnavailable, kRateLimited, kMalformedMessage.
+  virtual Result<ConfigRecord> Read(absl::string_view key) = 0;
+
+  /// Errors: as Read().
+  virtual Result<ObjectList> List(absl::string_view prefix) = 0;
+
+  /// Writes `body` where the object is absent (`expected` 0) or has the
+  /// revision `expected`. Returns the new revision. Errors: kConflict,
+  /// kRateLimited, kUnavailable (not written: no connection or 503) and
+  /// kOutcomeUnknown (sent, but the answer did not arrive).
+  virtual Result<Revision> Write(absl::string_view key,
+                                 absl::string_view body,
+                                 Revision expected) = 0;
+
+  /// Removes the object at revision `expected`. Errors: as Write(), kNotFound.
+  virtual Result<Revision> Remove(absl::string_view key, Revision expected) = 0;
+
+  /// Waits up to `wait` for changes after `after`. Errors: kNotFound when the
+  /// changes are no longer held and a list is needed, else as Read().
+  virtual Result<WatchBatch> Watch(absl::string_view prefix,
+                                   Revision after,
+                                   absl::Duration wait) = 0;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_PLATFORM_PLATFORM_CLIENT_H_
