--- a/include/skylarkshunt/edge/messages.h
+++ b/include/skylarkshunt/edge/messages.h
@@ -99,7 +99,10 @@
   Reason reason = Reason::kNone;
   /// HTTP status of the target, 0 where no target answered.
   uint16_t status = 0;
-  /// The flow's binding from now on, where it is new or renewed.
+  /// kOk and kBind: the flow's binding from now on. Otherwise: the binding that
+  /// the refused copy of the request carried. Once a caller has taken a binding
+  /// for a request it ignores refusals of copies without that binding, because
+  /// the bound copy may run.
   absl::optional<Binding> binding;
   /// When a repeat or a new request makes sense, in milliseconds; 0: any time.
   uint32_t retry_after_ms = 0;
--- a/lib/serial/cbor_array.cc
+++ b/lib/serial/cbor_array.cc
@@ -8,6 +8,37 @@
 constexpr char kRemedy[] =
     "check that the sender speaks this version of the protocol";
 
+/// Builds the parsed value and stops at deep nesting, because the parser calls
+/// itself for each level and a large message could exhaust the stack.
+class DepthLimitedBuilder
+    : public nlohmann::detail::json_sax_dom_parser<nlohmann::json> {
+ public:
+  using Base = nlohmann::detail::json_sax_dom_parser<nlohmann::json>;
+
+  explicit DepthLimitedBuilder(nlohmann::json& value)
+      : Base(value, /*allow_exceptions_=*/false) {}
+
+  bool start_array(size_t size) {
+    return ++depth_ <= kMaxDepth && Base::start_array(size);
+  }
+  bool end_array() {
+    --depth_;
+    return Base::end_array();
+  }
+  bool start_object(size_t size) {
+    return ++depth_ <= kMaxDepth && Base::start_object(size);
+  }
+  bool end_object() {
+    --depth_;
+    return Base::end_object();
+  }
+
+ private:
+  static constexpr int kMaxDepth = 16;
+
+  int depth_ = 0;
+};
+
 const nlohmann::json& EmptyArray() {
   static const auto& empty = *new nlohmann::json(nlohmann::json::array());
   return empty;
@@ -155,11 +186,21 @@
                                   " bytes exceeds the limit of ", limit),
                      "send smaller messages");
   }
-  nlohmann::json value = nlohmann::json::from_cbor(
-      bytes.begin(), bytes.end(), /*strict=*/true, /*allow_exceptions=*/false);
-  if (!value.is_array())
+  nlohmann::json value;
+  DepthLimitedBuilder builder(value);
+  bool parsed = false;
+  // The builder throws for a declared size beyond any memory, even with
+  // exceptions switched off.
+  try {
+    parsed = nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &builder,
+                                       nlohmann::json::input_format_t::cbor);
+  } catch (const nlohmann::json::exception&) {
+    parsed = false;
+  }
+  if (!parsed || !value.is_array()) {
     return MakeError(ErrorKind::kMalformedMessage, "not one CBOR array",
                      kRemedy);
+  }
   return value;
 }
 
--- a/unittests/serial/serial_test.cc
+++ b/unittests/serial/serial_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(ReaderRejectsWrongTypesAndMissingFields);
   CPPUNIT_TEST(ReaderRejectsExtraFields);
   CPPUNIT_TEST(ParseRejectsTruncatedAndOversized);
+  CPPUNIT_TEST(ParseRejectsDeepNestingAndHugeSizes);
   CPPUNIT_TEST(JsonRejectsRepeatedKey);
   CPPUNIT_TEST(JsonNamesKeyAndRemedy);
   CPPUNIT_TEST_SUITE_END();
@@ -55,6 +56,18 @@
     CPPUNIT_ASSERT(!CborArrayWriter().Text("abc").Encode(3).has_value());
   }
 
+  // Guards against a message that exhausts the stack (an array in an array,
+  // many times) or declares more elements than memory holds.
+  void ParseRejectsDeepNestingAndHugeSizes() {
+    constexpr uint8_t kArrayOfOne = 0x81;
+    constexpr size_t kLimit = 1 << 20;
+    const std::vector<uint8_t> deep(kLimit, kArrayOfOne);
+    CPPUNIT_ASSERT(!ParseCborArray(deep, kLimit).has_value());
+    const std::vector<uint8_t> huge = {0x9b, 0x7f, 0xff, 0xff, 0xff,
+                                       0xff, 0xff, 0xff, 0xff};
+    CPPUNIT_ASSERT(!ParseCborArray(huge, kLimit).has_value());
+  }
+
   void JsonRejectsRepeatedKey() {
     CPPUNIT_ASSERT(
         ParseJsonObject("{\"a\":{\"b\":1}, /*c*/ \"b\":2}", "f", kKind)
