--- a/include/skylarkshunt/placement/router.h
+++ b/include/skylarkshunt/placement/router.h
@@ -36,9 +36,10 @@
   kBound,         ///< To the target that its binding names.
   kOpening,       ///< A new flow, along the candidate list.
   kUnbound,       ///< An established flow without a binding, along the list.
-  kUnknownBound,  ///< The binding names a target that this entry does not know.
+  kUnknownBound,  ///< Idempotent, bound to a target unknown here.
   kMoved,         ///< A repeat that leaves a silent target.
-  kRefused,       ///< Answered by the entry itself.
+  kRefused,       ///< Not routed; answered by the entry when unbound.
+  kDropped,       ///< Ignored; a repeat reaches an entry that knows more.
 };
 
 /// One routing decision, for the log and the counters.
@@ -84,6 +85,7 @@
   RouteToCaller OnReply(absl::Time now, Reply reply);
 
  private:
+  /// Load in thousandths of the slots, and when it arrived.
   struct LoadReport {
     uint16_t load = 0;
     absl::Time at;
@@ -93,18 +95,31 @@
 
   RouteResult RouteRequest(absl::Time now, Endpoint caller, Request request);
   RouteResult RouteFollowUp(Endpoint caller, CallerMessage message);
+  RouteResult RouteBoundRequest(const RoutedService& service,
+                                FlowKey flow,
+                                Forward forward) const;
+  RouteResult RouteBound(const RoutedService& service,
+                         const RoutedTarget& target,
+                         FlowKey flow,
+                         Forward forward) const;
+  RouteResult RouteAlongList(RouteKind kind,
+                             FlowKey flow,
+                             Forward forward) const;
   Forward NewForward(const RoutedService& service,
                      Endpoint caller,
                      CallerMessage message) const;
-  void OrderCandidates(absl::Time now,
+  void OrderForOpening(absl::Time now,
                        const RoutedService& service,
                        const Request& request,
-                       CandidateList& list);
+                       Forward& forward);
+  void KeepOne(const Candidate& chosen, Forward& forward) const;
   void PreferLowerLoad(absl::Time now, CandidateList& list) const;
+  const LoadReport* FreshLoad(absl::Time now, InstanceUid uid) const;
 
   const Options options_;
   std::shared_ptr<const RoutingSnapshot> snapshot_;
   absl::flat_hash_map<InstanceUid, LoadReport> loads_;
+  /// For the baselines only.
   std::mt19937_64 random_;
   uint64_t round_robin_ = 0;
 };
--- a/include/skylarkshunt/placement/routing_snapshot.h
+++ b/include/skylarkshunt/placement/routing_snapshot.h
@@ -22,6 +22,12 @@
   std::shared_ptr<const ServiceTable> table;
 };
 
+/// A target as an entry routes bound flows to it.
+struct RoutedTarget {
+  Candidate candidate;
+  InstanceState state = InstanceState::kServing;
+};
+
 /// What an entry knows of services and targets at one time. Immutable and
 /// thread-safe; the control thread builds a new one for the data thread.
 class RoutingSnapshot {
@@ -29,6 +35,9 @@
   /// Builds a snapshot. Tables whose targets did not change are taken from
   /// `previous`, which may be null. Records of configuration that do not parse
   /// keep the service's state of `previous`.
+  /// A target of another region takes new flows only when the service has none
+  /// serving in `region`; ejected targets count again when fewer than half of
+  /// the targets that do not drain are serving.
   static std::shared_ptr<const RoutingSnapshot> Build(
       absl::string_view region,
       absl::Span<const InstanceRecord> instances,
@@ -37,18 +46,21 @@
 
   /// Returns the service named `name`, or null.
   const RoutedService* FindService(absl::string_view name) const;
-  /// Returns the target, in any state but down, or null.
-  const Candidate* FindTarget(InstanceUid uid) const;
+  /// Returns the target in any state, or null. A target that was reported down
+  /// is included while its record is held: the report may be wrong, and only
+  /// that target can tell whether a non-idempotent request ran.
+  const RoutedTarget* FindTarget(InstanceUid uid) const;
   /// Number of services in force.
   size_t service_count() const { return services_.size(); }
-  /// Number of targets that are not down.
+  /// Number of targets known, in any state.
   size_t target_count() const { return targets_.size(); }
 
  private:
   RoutingSnapshot() = default;
 
-  absl::flat_hash_map<std::string, RoutedService> services_;
-  absl::flat_hash_map<InstanceUid, Candidate> targets_;
+  absl::flat_hash_map<std::string, std::shared_ptr<const RoutedService>>
+      services_;
+  absl::flat_hash_map<InstanceUid, RoutedTarget> targets_;
 };
 
 }  // namespace skylarkshunt
--- /dev/null
+++ b/lib/placement/router.cc
@@ -0,0 +1,277 @@
+#include "skylarkshunt/placement/router.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace skylarkshunt {
+namespace {
+
+/// Older load reports say nothing about a target any more.
+constexpr absl::Duration kMaxLoadAge = absl::Milliseconds(250);
+/// Bound of the load reports kept; when full, all are dropped, since they are
+/// hints that answers renew within moments.
+constexpr size_t kMaxLoadReports = 8192;
+/// From this attempt on, an idempotent request leaves a bound target that has
+/// not answered.
+constexpr uint32_t kMoveAtAttempt = 4;
+
+/// Answers an unbound request as not run, which is true: it can run only after
+/// an agent has taken it or bound its flow. A bound one may have run at its
+/// target, which this entry cannot ask, so it gets no answer here; the caller's
+/// repeat reaches the target through another entry.
+RouteResult Refuse(Endpoint caller,
+                   const Request& request,
+                   FlowKey flow,
+                   Reason reason) {
+  RouteResult result;
+  result.action = RouteNowhere{};
+  result.decision =
+      RouteDecision{RouteKind::kRefused, flow, request.request_id, {}, reason};
+  if (request.binding.has_value())
+    return result;
+  Answer answer;
+  answer.request_id = request.request_id;
+  answer.outcome = Outcome::kNotRun;
+  answer.reason = reason;
+  result.action = RouteToCaller{caller, std::move(answer)};
+  return result;
+}
+
+/// Ignores a message that this entry cannot judge yet.
+RouteResult Drop(RequestId request_id, Reason reason) {
+  RouteResult result;
+  result.action = RouteNowhere{};
+  result.decision =
+      RouteDecision{RouteKind::kDropped, FlowKey{}, request_id, {}, reason};
+  return result;
+}
+
+absl::string_view ServiceName(const CallerMessage& message) {
+  return std::visit([](const auto& m) { return absl::string_view(m.service); },
+                    message);
+}
+
+uint64_t FlowId(const CallerMessage& message) {
+  return std::visit([](const auto& m) { return m.flow_id; }, message);
+}
+
+const absl::optional<Binding>& BindingOf(const CallerMessage& message) {
+  return std::visit(
+      [](const auto& m) -> const absl::optional<Binding>& { return m.binding; },
+      message);
+}
+
+RequestId RequestIdOf(const CallerMessage& message) {
+  return std::visit(
+      [](const auto& m) {
+        if constexpr (std::is_same_v<std::decay_t<decltype(m)>, Close>)
+          return RequestId();
+        else
+          return m.request_id;
+      },
+      message);
+}
+
+bool IsIdempotent(const RoutedService& service, const Request& request) {
+  const KindConfig* kind = service.config.FindKind(request.kind);
+  return kind != nullptr && kind->idempotent;
+}
+
+/// Whether a repeat should try another target than the one it is bound to.
+/// Only an idempotent request may: it runs at the other target as well.
+bool ShouldMove(const RoutedService& service,
+                const RoutedTarget& target,
+                const Request& request) {
+  if (!IsIdempotent(service, request))
+    return false;
+  return target.state == InstanceState::kDown ||
+         request.attempt >= kMoveAtAttempt;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<Router>> Router::Create(const Options& options) {
+  if (options.incarnation == Incarnation{}) {
+    return MakeError(ErrorKind::kInvalidArgument, "incarnation 0",
+                     "pass the time of the start in milliseconds");
+  }
+  return std::unique_ptr<Router>(new Router(options));
+}
+
+Router::Router(const Options& options)
+    : options_(options),
+      snapshot_(RoutingSnapshot::Build("", {}, {}, nullptr)),
+      random_(options.random_seed) {}
+
+void Router::UseSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
+  assert(snapshot != nullptr && "a router always has a snapshot");
+  snapshot_ = std::move(snapshot);
+}
+
+RouteResult Router::OnCallerMessage(absl::Time now,
+                                    Endpoint caller,
+                                    CallerMessage message) {
+  if (std::holds_alternative<Request>(message))
+    return RouteRequest(now, caller, std::get<Request>(std::move(message)));
+  return RouteFollowUp(caller, std::move(message));
+}
+
+RouteResult Router::RouteRequest(absl::Time now,
+                                 Endpoint caller,
+                                 Request request) {
+  // An entry that has just started knows nothing yet; a repeat reaches another.
+  if (snapshot_->service_count() == 0 || snapshot_->target_count() == 0)
+    return Drop(request.request_id, Reason::kNoTarget);
+  const RoutedService* service = snapshot_->FindService(request.service);
+  if (service == nullptr)
+    return Refuse(caller, request, FlowKey{}, Reason::kUnknownService);
+  const FlowKey flow = MakeFlowKey(service->config.uid, request.flow_id);
+  Forward forward = NewForward(*service, caller, std::move(request));
+  const Request& sent = std::get<Request>(forward.message);
+  forward.candidates = service->table->Candidates(flow);
+  if (sent.binding.has_value())
+    return RouteBoundRequest(*service, flow, std::move(forward));
+  if (forward.candidates.empty())
+    return Refuse(caller, sent, flow, Reason::kNoTarget);
+  if (!sent.opening)
+    return RouteAlongList(RouteKind::kUnbound, flow, std::move(forward));
+  OrderForOpening(now, *service, sent, forward);
+  return RouteAlongList(RouteKind::kOpening, flow, std::move(forward));
+}
+
+RouteResult Router::RouteBoundRequest(const RoutedService& service,
+                                      FlowKey flow,
+                                      Forward forward) const {
+  const Request& request = std::get<Request>(forward.message);
+  const RoutedTarget* target =
+      snapshot_->FindTarget(request.binding->target_uid);
+  if (target != nullptr && !ShouldMove(service, *target, request))
+    return RouteBound(service, *target, flow, std::move(forward));
+  // Only the bound target can tell whether a non-idempotent request ran.
+  const bool can_move =
+      IsIdempotent(service, request) && !forward.candidates.empty();
+  if (!can_move)
+    return Refuse(forward.caller, request, flow, Reason::kWrongInstance);
+  const RouteKind kind =
+      target == nullptr ? RouteKind::kUnknownBound : RouteKind::kMoved;
+  return RouteAlongList(kind, flow, std::move(forward));
+}
+
+RouteResult Router::RouteFollowUp(Endpoint caller, CallerMessage message) {
+  const RoutedService* service = snapshot_->FindService(ServiceName(message));
+  if (service == nullptr)
+    return Drop(RequestIdOf(message), Reason::kUnknownService);
+  const FlowKey flow = MakeFlowKey(service->config.uid, FlowId(message));
+  Forward forward = NewForward(*service, caller, std::move(message));
+  forward.candidates = service->table->Candidates(flow);
+  const absl::optional<Binding>& binding = BindingOf(forward.message);
+  if (!binding.has_value()) {
+    if (forward.candidates.empty())
+      return Drop(RequestIdOf(forward.message), Reason::kNoTarget);
+    return RouteAlongList(RouteKind::kUnbound, flow, std::move(forward));
+  }
+  const RoutedTarget* target = snapshot_->FindTarget(binding->target_uid);
+  if (target == nullptr)
+    return Drop(RequestIdOf(forward.message), Reason::kWrongInstance);
+  return RouteBound(*service, *target, flow, std::move(forward));
+}
+
+RouteResult Router::RouteBound(const RoutedService& service,
+                               const RoutedTarget& target,
+                               FlowKey flow,
+                               Forward forward) const {
+  // The other candidates follow, so that the bound agent can hand over what it
+  // has not started.
+  CandidateList list;
+  list.push_back(target.candidate);
+  for (const Candidate& candidate : forward.candidates) {
+    if (candidate.uid != target.candidate.uid && list.size() < kMaxCandidates)
+      list.push_back(candidate);
+  }
+  forward.candidates = std::move(list);
+  forward.service = service.config.uid;
+  return RouteAlongList(RouteKind::kBound, flow, std::move(forward));
+}
+
+RouteResult Router::RouteAlongList(RouteKind kind,
+                                   FlowKey flow,
+                                   Forward forward) const {
+  assert(!forward.candidates.empty() && "a forward needs a receiver");
+  const Candidate& first = forward.candidates.front();
+  RouteResult result;
+  result.decision = RouteDecision{kind, flow, RequestIdOf(forward.message),
+                                  first.uid, Reason::kNone};
+  const Endpoint agent = first.data;
+  result.action = RouteToAgent{agent, std::move(forward)};
+  return result;
+}
+
+Forward Router::NewForward(const RoutedService& service,
+                           Endpoint caller,
+                           CallerMessage message) const {
+  Forward forward;
+  forward.sender = options_.incarnation;
+  forward.service = service.config.uid;
+  forward.revision = service.revision;
+  forward.caller = caller;
+  forward.entry = options_.entry;
+  forward.message = std::move(message);
+  return forward;
+}
+
+void Router::OrderForOpening(absl::Time now,
+                             const RoutedService& service,
+                             const Request& request,
+                             Forward& forward) {
+  CandidateList& list = forward.candidates;
+  const absl::Span<const Candidate> targets = service.table->targets();
+  switch (options_.policy) {
+    case PlacementPolicy::kHunting: {
+      // A repeat starts at the next candidate, so that a silent target does
+      // not hold up the flow.
+      const size_t shift = (request.attempt - 1) % list.size();
+      std::rotate(list.begin(), list.begin() + shift, list.end());
+      if (shift == 0)
+        PreferLowerLoad(now, list);
+      return;
+    }
+    case PlacementPolicy::kHash:
+      return KeepOne(Candidate(list.front()), forward);
+    case PlacementPolicy::kRandom:
+      return KeepOne(targets[random_() % targets.size()], forward);
+    case PlacementPolicy::kRoundRobin:
+      return KeepOne(targets[round_robin_++ % targets.size()], forward);
+  }
+}
+
+void Router::KeepOne(const Candidate& chosen, Forward& forward) const {
+  forward.candidates.assign(1, chosen);
+  forward.final_hop = true;
+}
+
+void Router::PreferLowerLoad(absl::Time now, CandidateList& list) const {
+  if (list.size() < 2)
+    return;
+  const LoadReport* first = FreshLoad(now, list[0].uid);
+  const LoadReport* second = FreshLoad(now, list[1].uid);
+  if (first != nullptr && second != nullptr && second->load < first->load)
+    std::swap(list[0], list[1]);
+}
+
+const Router::LoadReport* Router::FreshLoad(absl::Time now,
+                                            InstanceUid uid) const {
+  auto found = loads_.find(uid);
+  if (found == loads_.end() || now - found->second.at > kMaxLoadAge)
+    return nullptr;
+  return &found->second;
+}
+
+RouteToCaller Router::OnReply(absl::Time now, Reply reply) {
+  if (loads_.size() >= kMaxLoadReports && !loads_.contains(reply.sender_uid))
+    loads_.clear();
+  loads_[reply.sender_uid] = LoadReport{reply.load, now};
+  return RouteToCaller{reply.caller, std::move(reply.answer)};
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/unittests/placement/router_test.cc
@@ -0,0 +1,171 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "placement_fixtures.h"
+#include "skylarkshunt/placement/router.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr ServiceUid kService{7};
+const Endpoint kCaller{0x7f000001, 5555};
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+Request MakeRequest(const std::string& kind) {
+  Request request;
+  request.service = "s";
+  request.kind = kind;
+  request.flow_id = 42;
+  request.request_id = {1, 2};
+  request.deadline_ms = 1000;
+  return request;
+}
+
+class RouterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RouterTest);
+  CPPUNIT_TEST(BoundRequestGoesToItsTarget);
+  CPPUNIT_TEST(NonIdempotentNeverLeavesItsTarget);
+  CPPUNIT_TEST(IdempotentLeavesASilentOrDeadTarget);
+  CPPUNIT_TEST(UnknownTargetOfAFilingGetsNoAnswer);
+  CPPUNIT_TEST(NewEntryStaysSilent);
+  CPPUNIT_TEST(UnknownServiceIsRefusedOnlyWhenUnbound);
+  CPPUNIT_TEST(RepeatsStartAtOtherCandidates);
+  CPPUNIT_TEST(FreshLoadOrdersTheFirstTwo);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    records_ = AgentRecords(kService, 7);
+    UseRecords();
+  }
+
+  void BoundRequestGoesToItsTarget() {
+    for (const InstanceRecord& record : records_) {
+      const RouteResult result = Route(Bound("file", record.uid));
+      CPPUNIT_ASSERT(result.decision.kind == RouteKind::kBound);
+      const auto& sent = std::get<RouteToAgent>(result.action);
+      CPPUNIT_ASSERT(sent.agent == record.data);
+      CPPUNIT_ASSERT(sent.forward.candidates[0].uid == record.uid);
+      CPPUNIT_ASSERT(sent.forward.candidates.size() > 1);
+    }
+  }
+
+  // Guards promise P5: a filing that moved could run twice.
+  void NonIdempotentNeverLeavesItsTarget() {
+    records_[3].state = InstanceState::kDown;
+    UseRecords();
+    for (uint32_t attempt = 1; attempt < 20; ++attempt) {
+      Request request = Bound("file", records_[3].uid);
+      request.attempt = attempt;
+      const RouteResult result = Route(request);
+      CPPUNIT_ASSERT(std::get<RouteToAgent>(result.action).agent ==
+                     records_[3].data);
+    }
+  }
+
+  void IdempotentLeavesASilentOrDeadTarget() {
+    Request request = Bound("read", records_[3].uid);
+    request.attempt = 4;
+    CPPUNIT_ASSERT(Route(request).decision.kind == RouteKind::kMoved);
+    records_[3].state = InstanceState::kDown;
+    UseRecords();
+    request.attempt = 1;
+    const RouteResult result = Route(request);
+    CPPUNIT_ASSERT(result.decision.kind == RouteKind::kMoved);
+    CPPUNIT_ASSERT(std::get<RouteToAgent>(result.action).agent !=
+                   records_[3].data);
+  }
+
+  // Guards promise P4: this entry cannot know whether the filing ran.
+  void UnknownTargetOfAFilingGetsNoAnswer() {
+    const RouteResult file = Route(Bound("file", InstanceUid{99}));
+    CPPUNIT_ASSERT(std::holds_alternative<RouteNowhere>(file.action));
+    const RouteResult read = Route(Bound("read", InstanceUid{99}));
+    CPPUNIT_ASSERT(read.decision.kind == RouteKind::kUnknownBound);
+  }
+
+  // Guards against a restarted entry that refuses what the others serve.
+  void NewEntryStaysSilent() {
+    auto fresh = MakeRouter();
+    Request request = MakeRequest("read");
+    request.opening = true;
+    const RouteResult result = fresh->OnCallerMessage(kStart, kCaller, request);
+    CPPUNIT_ASSERT(std::holds_alternative<RouteNowhere>(result.action));
+  }
+
+  void UnknownServiceIsRefusedOnlyWhenUnbound() {
+    Request request = MakeRequest("read");
+    request.service = "nowhere";
+    const RouteResult unbound = Route(request);
+    const auto& answer = std::get<RouteToCaller>(unbound.action).answer;
+    CPPUNIT_ASSERT(answer.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(answer.reason == Reason::kUnknownService);
+    request.binding = Binding{records_[0].uid, Incarnation{1}, 1};
+    CPPUNIT_ASSERT(std::holds_alternative<RouteNowhere>(Route(request).action));
+  }
+
+  void RepeatsStartAtOtherCandidates() {
+    std::set<InstanceUid> receivers;
+    for (uint32_t attempt = 1; attempt <= 4; ++attempt) {
+      Request request = MakeRequest("read");
+      request.opening = true;
+      request.attempt = attempt;
+      receivers.insert(Route(request).decision.target);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, receivers.size());
+  }
+
+  void FreshLoadOrdersTheFirstTwo() {
+    Request request = MakeRequest("read");
+    request.opening = true;
+    const CandidateList list =
+        std::get<RouteToAgent>(Route(request).action).forward.candidates;
+    Report(list[0].uid, 1000);
+    Report(list[1].uid, 200);
+    CPPUNIT_ASSERT(Route(request).decision.target == list[1].uid);
+    const absl::Time later = kStart + absl::Milliseconds(251);
+    const RouteResult stale = router_->OnCallerMessage(later, kCaller, request);
+    CPPUNIT_ASSERT(stale.decision.target == list[0].uid);
+  }
+
+ private:
+  std::unique_ptr<Router> MakeRouter() {
+    Router::Options options;
+    options.entry = Endpoint{0x7f000002, 7000};
+    options.incarnation = Incarnation{1};
+    return Router::Create(options).value();
+  }
+
+  void UseRecords() {
+    router_ = MakeRouter();
+    const ConfigRecord config = ServiceRecord("s", kService, 1);
+    router_->UseSnapshot(
+        RoutingSnapshot::Build("r1", records_, {config}, nullptr));
+  }
+
+  RouteResult Route(const Request& request) {
+    return router_->OnCallerMessage(kStart, kCaller, request);
+  }
+
+  static Request Bound(const std::string& kind, InstanceUid uid) {
+    Request request = MakeRequest(kind);
+    request.binding = Binding{uid, Incarnation{1}, 1};
+    return request;
+  }
+
+  void Report(InstanceUid uid, uint16_t load) {
+    Reply reply;
+    reply.sender_uid = uid;
+    reply.load = load;
+    router_->OnReply(kStart, reply);
+  }
+
+  std::vector<InstanceRecord> records_;
+  std::unique_ptr<Router> router_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouterTest);
+
+}  // namespace
+}  // namespace skylarkshunt
