Align the decision clock with the wall clock at start

Cause: agents compare the age of bindings of other instances in a transfer; boot clocks of two instances differ by their uptimes, so every transfer between them would look expired or issued in the future. Change: BootNow() is the wall clock at the first call plus boot time since.

--- a/include/skylarkshunt/net/poller.h
+++ b/include/skylarkshunt/net/poller.h
@@ -35,9 +35,10 @@
 /// passed. Returns whether one is readable. Thread-safe.
 bool WaitReadable(absl::Span<const int> fds, absl::Duration timeout);
 
-/// Time since the system started, as an offset from the epoch, from a clock
-/// that goes on while the process or the instance is suspended
-/// (CLOCK_BOOTTIME). Thread-safe.
+/// The time for all decisions: wall-clock time at the first call plus the time
+/// passed since on a clock that never steps and goes on while the process or
+/// the instance is suspended (CLOCK_BOOTTIME). Close to the wall clock, because
+/// agents on different instances compare the age of bindings. Thread-safe.
 absl::Time BootNow();
 
 }  // namespace skylarkshunt
--- a/lib/net/poller.cc
+++ b/lib/net/poller.cc
@@ -14,6 +14,15 @@
 #include <utility>
 
 namespace skylarkshunt {
+namespace {
+
+absl::Time ReadClock(clockid_t clock) {
+  timespec now = {};
+  clock_gettime(clock, &now);
+  return absl::TimeFromTimespec(now);
+}
+
+}  // namespace
 
 Result<Wakeup> Wakeup::Create() {
   const int fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
@@ -60,9 +69,9 @@
 }
 
 absl::Time BootNow() {
-  timespec now = {};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  return absl::TimeFromTimespec(now);
+  static const absl::Duration wall_offset =
+      ReadClock(CLOCK_REALTIME) - ReadClock(CLOCK_BOOTTIME);
+  return ReadClock(CLOCK_BOOTTIME) + wall_offset;
 }
 
 }  // namespace skylarkshunt
