--- /dev/null
+++ b/lib/flows/agent_limits.h
@@ -0,0 +1,49 @@
+#ifndef SKYLARKSHUNT_FLOWS_AGENT_LIMITS_H_
+#define SKYLARKSHUNT_FLOWS_AGENT_LIMITS_H_
+
+#include <cstddef>
+#include <memory>
+
+#include "absl/time/time.h"
+#include "skylarkshunt/flows/agent_core.h"
+
+namespace skylarkshunt {
+
+/// Most requests in the ledger.
+inline constexpr size_t kMaxLedgerEntries = 100'000;
+/// How long a request id is remembered, and how long a binding is valid.
+inline constexpr absl::Duration kLedgerHorizon = absl::Seconds(600);
+/// Most memory of retained answers.
+inline constexpr size_t kMaxAnswerBytes = size_t{16} * 1024 * 1024;
+/// Counted for each retained answer besides its body, so that empty answers are
+/// bounded too.
+inline constexpr size_t kAnswerOverheadBytes = 256;
+/// How long an answer is retained.
+inline constexpr absl::Duration kAnswerLife = absl::Seconds(120);
+/// Most ids of dropped answers that are remembered.
+inline constexpr size_t kMaxGoneAnswers = 100'000;
+/// A flow without a message for this time is forgotten; its binding has run out
+/// by then.
+inline constexpr absl::Duration kFlowIdleLimit = kLedgerHorizon;
+/// A flow's binding is renewed with the next answer from this age on.
+inline constexpr absl::Duration kBindingRenewAge = absl::Seconds(300);
+/// Most former incarnations of this process that are remembered.
+inline constexpr size_t kMaxFormerIncarnations = 64;
+/// How far the clock of an agent that transfers a request may be ahead.
+inline constexpr absl::Duration kMaxClockAhead = absl::Seconds(60);
+/// How long a leaving agent keeps an answer that is not Done.
+inline constexpr absl::Duration kShutdownAnswerLife = absl::Seconds(3);
+
+/// Limits that tests make small.
+struct AgentLimits {
+  size_t ledger_entries = kMaxLedgerEntries;
+  size_t answer_bytes = kMaxAnswerBytes;
+};
+
+/// As AgentCore::Create(), with other limits than the product's.
+Result<std::unique_ptr<AgentCore>> CreateAgentCore(AgentCore::Options options,
+                                                   AgentLimits limits);
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_FLOWS_AGENT_LIMITS_H_
--- /dev/null
+++ b/lib/flows/agent_passing.cc
@@ -0,0 +1,145 @@
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "flows/agent_core_impl.h"
+
+namespace skylarkshunt {
+namespace {
+
+/// The last candidate sends a message back only to a load lower by this, in
+/// thousandths of the slots, because the extra hop has its cost.
+constexpr uint32_t kClearlyLowerLoad = 250;
+
+}  // namespace
+
+bool AgentCoreImpl::IsLastStop(const Forward& forward) const {
+  return forward.final_hop || forward.hops >= kMaxHops;
+}
+
+bool AgentCoreImpl::PassToNext(const Forward& forward) {
+  const size_t next = size_t{forward.position} + 1;
+  if (IsLastStop(forward) || next >= forward.candidates.size())
+    return false;
+  SendTo(forward, next);
+  return true;
+}
+
+// `only_onward` keeps messages whose binding may have run out from going back
+// and forth between the bound agent and the rest of the list.
+bool AgentCoreImpl::PassToBound(const Forward& forward,
+                                const Binding& binding,
+                                bool only_onward) {
+  if (binding.target_uid == options_.uid || IsLastStop(forward))
+    return false;
+  const size_t first = only_onward ? size_t{forward.position} + 1 : 0;
+  for (size_t i = first; i < forward.candidates.size(); ++i) {
+    if (forward.candidates[i].uid != binding.target_uid)
+      continue;
+    // The address of the bound target has passed to this one.
+    if (i == forward.position)
+      return false;
+    SendTo(forward, i);
+    return true;
+  }
+  return false;
+}
+
+bool AgentCoreImpl::PassForLoad(const Forward& forward) {
+  Forward passed = forward;
+  const uint16_t load = Load();
+  if (load < passed.lowest_load) {
+    passed.lowest_load = load;
+    passed.lowest_index = forward.position;
+  }
+  return PassToNext(passed);
+}
+
+bool AgentCoreImpl::PassBackToLowest(const Forward& forward) {
+  if (IsLastStop(forward) || forward.lowest_load == kLoadFull ||
+      forward.lowest_index >= forward.candidates.size() ||
+      forward.lowest_index == forward.position) {
+    return false;
+  }
+  if (forward.lowest_load + kClearlyLowerLoad > Load())
+    return false;
+  Forward back = forward;
+  back.final_hop = true;
+  SendTo(std::move(back), forward.lowest_index);
+  return true;
+}
+
+// Gives a request that was not started to another candidate, which settles it.
+// A non-idempotent one is in the ledger, and is recorded as transferred before
+// the message leaves.
+bool AgentCoreImpl::HandOver(const Forward& forward,
+                             bool idempotent,
+                             Reason reason) {
+  if (IsLastStop(forward) || forward.transfer.has_value() ||
+      options_.policy.no_second_candidate) {
+    return false;
+  }
+  absl::InlinedVector<size_t, kMaxCandidates> others;
+  for (size_t i = 0; i < forward.candidates.size(); ++i) {
+    if (forward.candidates[i].uid != options_.uid && i != forward.position)
+      others.push_back(i);
+  }
+  if (others.empty())
+    return false;
+  std::uniform_int_distribution<size_t> draw(0, others.size() - 1);
+  const size_t index = others[draw(random_)];
+  Forward passed = forward;
+  passed.final_hop = true;
+  if (!idempotent) {
+    const Request& request = std::get<Request>(forward.message);
+    LedgerEntry* entry = ledger_.Find(request.request_id);
+    if (entry == nullptr || !request.binding.has_value())
+      return false;
+    const Candidate& to = forward.candidates[index];
+    const Transfer transfer{options_.uid, request.binding->incarnation, to.uid,
+                            to.incarnation};
+    entry->state = RequestState::kTransferred;
+    entry->transfer =
+        std::make_unique<TransferRecord>(TransferRecord{transfer, to.data});
+    passed.transfer = transfer;
+    ++stats_.transferred;
+    Decide(Decision::kTransferred, request.request_id, {}, reason, to.uid);
+  }
+  SendTo(std::move(passed), index);
+  return true;
+}
+
+void AgentCoreImpl::SendTransferred(const Forward& forward,
+                                    const TransferRecord& record) {
+  // A message with a transfer of its own has reached its receiver.
+  if (forward.transfer.has_value() || forward.hops >= kMaxHops)
+    return;
+  Forward passed = forward;
+  passed.transfer = record.transfer;
+  passed.final_hop = true;
+  passed.sender = incarnation();
+  passed.revision = revision_;
+  ++passed.hops;
+  for (size_t i = 0; i < passed.candidates.size(); ++i) {
+    if (passed.candidates[i].uid == record.transfer.to)
+      passed.position = static_cast<uint8_t>(i);
+  }
+  ++stats_.passed_on;
+  actions_.push_back(SendForward{record.agent, std::move(passed)});
+}
+
+void AgentCoreImpl::SendTo(Forward forward, size_t index) {
+  const Candidate to = forward.candidates[index];
+  forward.sender = incarnation();
+  forward.revision = revision_;
+  forward.position = static_cast<uint8_t>(index);
+  ++forward.hops;
+  ++stats_.passed_on;
+  RequestId id;
+  if (const auto* request = std::get_if<Request>(&forward.message))
+    id = request->request_id;
+  Decide(Decision::kPassedOn, id, {}, Reason::kNone, to.uid);
+  actions_.push_back(SendForward{to.data, std::move(forward)});
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/lib/flows/bindings.h
@@ -0,0 +1,66 @@
+#ifndef SKYLARKSHUNT_FLOWS_BINDINGS_H_
+#define SKYLARKSHUNT_FLOWS_BINDINGS_H_
+
+#include <cstdint>
+#include <deque>
+
+#include "absl/time/time.h"
+#include "skylarkshunt/base/ids.h"
+
+namespace skylarkshunt {
+
+/// Returns `time` as the whole milliseconds of Binding::issued_ms.
+int64_t ToIssuedMs(absl::Time time);
+
+/// Whether a binding issued at `issued_ms` has run out at `now` on the same
+/// clock.
+bool IsExpired(absl::Time now, int64_t issued_ms);
+
+/// Whether `binding` allows nothing anywhere. Agents give such a binding to an
+/// unbound non-idempotent request that they refuse: a refusal of the unbound
+/// copy may be false, because another copy may have been bound elsewhere. The
+/// copy under this binding never runs, so its refusal is true at every agent.
+bool IsRefusalBinding(const Binding& binding);
+
+/// The bindings that one agent issues. Holds no binding, only what makes one
+/// invalid. Not thread-safe.
+class Bindings {
+ public:
+  enum class State {
+    kValid,
+    /// Revoked, or of a former incarnation of this process. It was never used
+    /// by a request that is not in the ledger, and never will be.
+    kRevoked,
+    kExpired,
+    /// Of another agent, or of an earlier process beside this target.
+    kForeign,
+  };
+
+  Bindings(InstanceUid uid, Incarnation incarnation);
+
+  /// Returns a new valid binding.
+  Binding Issue(absl::Time now);
+  /// Returns a binding for which IsRefusalBinding() holds.
+  Binding IssueRefusal() const;
+  State Check(absl::Time now, const Binding& binding) const;
+
+  /// Makes all bindings issued until now invalid.
+  void RevokeAll(absl::Time now);
+
+  /// Takes a new incarnation. All earlier bindings are revoked.
+  void TakeIncarnation(Incarnation incarnation);
+  Incarnation incarnation() const { return incarnation_; }
+  /// Whether this process held `incarnation` before.
+  bool IsFormer(Incarnation incarnation) const;
+
+ private:
+  const InstanceUid uid_;
+  Incarnation incarnation_;
+  int64_t last_issued_ms_ = 0;
+  int64_t revoked_through_ms_ = 0;
+  std::deque<Incarnation> former_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_FLOWS_BINDINGS_H_
--- /dev/null
+++ b/lib/flows/flow_table.h
@@ -0,0 +1,51 @@
+#ifndef SKYLARKSHUNT_FLOWS_FLOW_TABLE_H_
+#define SKYLARKSHUNT_FLOWS_FLOW_TABLE_H_
+
+#include <cstddef>
+#include <list>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "skylarkshunt/base/ids.h"
+
+namespace skylarkshunt {
+
+/// The flows that an agent serves, bounded by the service's connections. Not
+/// thread-safe.
+class FlowTable {
+ public:
+  struct Flow {
+    FlowKey key{};
+    /// The newest binding given to the caller.
+    Binding binding;
+    absl::Time last_message;
+  };
+
+  void SetCapacity(size_t flows) { capacity_ = flows; }
+
+  /// Returns the flow, or null. The pointer holds until the next other call.
+  Flow* Find(FlowKey key);
+
+  /// Returns the flow after noting a message in it. Adds it when it is new and
+  /// the table is not full; null otherwise.
+  Flow* Touch(absl::Time now, FlowKey key);
+
+  void Remove(FlowKey key);
+
+  /// Removes flows that were idle for kFlowIdleLimit.
+  void RemoveIdle(absl::Time now);
+
+  bool full() const { return by_age_.size() >= capacity_; }
+  size_t size() const { return by_age_.size(); }
+
+ private:
+  size_t capacity_ = 0;
+  // Least recently used first.
+  std::list<Flow> by_age_;
+  absl::flat_hash_map<FlowKey, std::list<Flow>::iterator> flows_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_FLOWS_FLOW_TABLE_H_
