--- a/lib/flows/agent_answers.cc
+++ b/lib/flows/agent_answers.cc
@@ -6,6 +6,10 @@
 namespace skylarkshunt {
 namespace {
 
+uint64_t FlowIdOf(const CallerMessage& message) {
+  return std::visit([](const auto& m) { return m.flow_id; }, message);
+}
+
 constexpr absl::Duration kShortestRetryDelay = absl::Milliseconds(50);
 constexpr absl::Duration kLongestRetryDelay = absl::Seconds(5);
 constexpr uint32_t kUnavailableRetryMs = 1000;
@@ -29,6 +33,7 @@
                                 Outcome outcome,
                                 Reason reason,
                                 absl::optional<Binding> binding) {
+  const FlowKey flow = MakeFlowKey(options_.service, FlowIdOf(forward.message));
   Answer answer;
   answer.request_id = id;
   answer.outcome = outcome;
@@ -37,11 +42,11 @@
   if (outcome == Outcome::kNotRun) {
     ++stats_.refused;
     answer.retry_after_ms = RetryAfterMs(reason);
-    Decide(Decision::kRequestRefused, id, {}, reason);
+    Decide(Decision::kRequestRefused, id, flow, reason);
   }
   if (outcome == Outcome::kOutcomeUnknown) {
     ++stats_.outcome_unknown;
-    Decide(Decision::kOutcomeUnknown, id, {}, reason);
+    Decide(Decision::kOutcomeUnknown, id, flow, reason);
   }
   SendAnswer(forward, std::move(answer));
 }
--- a/lib/flows/agent_core.cc
+++ b/lib/flows/agent_core.cc
@@ -76,6 +76,9 @@
                                      Revision revision,
                                      const ServiceConfig& config) {
   BeginEvent(now);
+  // A service created again under its name has a core of its own.
+  if (config.uid != options_.service)
+    return EndEvent();
   if (config_.has_value() && revision <= revision_)
     return EndEvent();
   if (!config_.has_value())
--- a/lib/flows/agent_limits.h
+++ b/lib/flows/agent_limits.h
@@ -25,6 +25,9 @@
 /// A flow without a message for this time is forgotten; its binding has run out
 /// by then.
 inline constexpr absl::Duration kFlowIdleLimit = kLedgerHorizon;
+/// As kFlowIdleLimit, for a flow that only got a binding: its caller repeats at
+/// once, here or under another agent's binding.
+inline constexpr absl::Duration kUnusedFlowIdleLimit = absl::Seconds(30);
 /// A flow's binding is renewed with the next answer from this age on.
 inline constexpr absl::Duration kBindingRenewAge = absl::Seconds(300);
 /// Most former incarnations of this process that are remembered.
--- a/lib/flows/agent_passing.cc
+++ b/lib/flows/agent_passing.cc
@@ -103,7 +103,8 @@
         std::make_unique<TransferRecord>(TransferRecord{transfer, to.data});
     passed.transfer = transfer;
     ++stats_.transferred;
-    Decide(Decision::kTransferred, request.request_id, {}, reason, to.uid);
+    Decide(Decision::kTransferred, request.request_id,
+           MakeFlowKey(options_.service, request.flow_id), reason, to.uid);
   }
   SendTo(std::move(passed), index);
   return true;
@@ -135,10 +136,11 @@
   forward.position = static_cast<uint8_t>(index);
   ++forward.hops;
   ++stats_.passed_on;
-  RequestId id;
-  if (const auto* request = std::get_if<Request>(&forward.message))
-    id = request->request_id;
-  Decide(Decision::kPassedOn, id, {}, Reason::kNone, to.uid);
+  if (const auto* request = std::get_if<Request>(&forward.message)) {
+    Decide(Decision::kPassedOn, request->request_id,
+           MakeFlowKey(options_.service, request->flow_id), Reason::kNone,
+           to.uid);
+  }
   actions_.push_back(SendForward{to.data, std::move(forward)});
 }
 
--- a/lib/flows/agent_requests.cc
+++ b/lib/flows/agent_requests.cc
@@ -264,7 +264,7 @@
     return RefuseNewFlow(forward, request, kind, RefusalReason());
   }
   const FlowKey flow = MakeFlowKey(options_.service, request.flow_id);
-  flows_.Touch(now_, flow);
+  flows_.Touch(now_, flow, false);
   Decide(Decision::kFlowAccepted, request.request_id, flow);
   if (kind.idempotent)
     return Admit(forward, request, kind);
@@ -293,7 +293,7 @@
 
 void AgentCoreImpl::SendBind(const Forward& forward, const Request& request) {
   const FlowKey flow = MakeFlowKey(options_.service, request.flow_id);
-  flows_.Touch(now_, flow);
+  flows_.Touch(now_, flow, false);
   Decide(Decision::kBindingIssued, request.request_id, flow);
   SendOutcome(forward, request.request_id, Outcome::kBind, Reason::kNone,
               RenewedBinding(flow, absl::nullopt));
--- a/lib/flows/agent_runs.cc
+++ b/lib/flows/agent_runs.cc
@@ -22,7 +22,7 @@
   active->deadline =
       now_ + std::min(absl::Milliseconds(deadline_ms), config_->deadline);
   if (TakesNewFlows() || flows_.Find(active->flow) != nullptr)
-    flows_.Touch(now_, active->flow);
+    flows_.Touch(now_, active->flow, true);
   // A transferred request is work that another agent moves here.
   const bool ejected = health_.state() == TargetHealth::State::kEjected;
   if (ejected || (forward.transfer.has_value() && draining()))
@@ -144,7 +144,6 @@
     entry->state = RequestState::kUnknown;
     entry->reason = reason;
   }
-  Decide(Decision::kOutcomeUnknown, id, active->flow, reason);
   SendOutcome(active->forward, id, Outcome::kOutcomeUnknown, reason);
 }
 
--- a/lib/flows/flow_table.cc
+++ b/lib/flows/flow_table.cc
@@ -11,33 +11,41 @@
   return found == flows_.end() ? nullptr : &*found->second;
 }
 
-FlowTable::Flow* FlowTable::Touch(absl::Time now, FlowKey key) {
-  const auto found = flows_.find(key);
-  if (found != flows_.end()) {
-    found->second->last_message = now;
-    by_age_.splice(by_age_.end(), by_age_, found->second);
-    return &*found->second;
+FlowTable::Flow* FlowTable::Touch(absl::Time now, FlowKey key, bool used) {
+  if (Flow* known = Find(key)) {
+    Flows& from = known->used ? used_ : unused_;
+    known->last_message = now;
+    known->used = known->used || used;
+    Flows& to = known->used ? used_ : unused_;
+    to.splice(to.end(), from, flows_.at(key));
+    return known;
   }
   if (full())
     return nullptr;
-  by_age_.push_back(Flow{key, Binding{}, now});
-  flows_.emplace(key, std::prev(by_age_.end()));
-  return &by_age_.back();
+  Flows& flows = used ? used_ : unused_;
+  flows.push_back(Flow{key, Binding{}, now, used});
+  flows_.emplace(key, std::prev(flows.end()));
+  return &flows.back();
 }
 
 void FlowTable::Remove(FlowKey key) {
   const auto found = flows_.find(key);
   if (found == flows_.end())
     return;
-  by_age_.erase(found->second);
+  Flows& flows = found->second->used ? used_ : unused_;
+  flows.erase(found->second);
   flows_.erase(found);
 }
 
 void FlowTable::RemoveIdle(absl::Time now) {
-  while (!by_age_.empty() &&
-         by_age_.front().last_message + kFlowIdleLimit <= now) {
-    flows_.erase(by_age_.front().key);
-    by_age_.pop_front();
+  RemoveIdle(now, kFlowIdleLimit, used_);
+  RemoveIdle(now, kUnusedFlowIdleLimit, unused_);
+}
+
+void FlowTable::RemoveIdle(absl::Time now, absl::Duration limit, Flows& flows) {
+  while (!flows.empty() && flows.front().last_message + limit <= now) {
+    flows_.erase(flows.front().key);
+    flows.pop_front();
   }
 }
 
--- a/lib/flows/flow_table.h
+++ b/lib/flows/flow_table.h
@@ -20,6 +20,8 @@
     /// The newest binding given to the caller.
     Binding binding;
     absl::Time last_message;
+    /// A request of it was admitted here.
+    bool used = false;
   };
 
   void SetCapacity(size_t flows) { capacity_ = flows; }
@@ -28,22 +30,27 @@
   Flow* Find(FlowKey key);
 
   /// Returns the flow after noting a message in it. Adds it when it is new and
-  /// the table is not full; null otherwise.
-  Flow* Touch(absl::Time now, FlowKey key);
+  /// the table is not full; null otherwise. `used` marks it as in use for good.
+  Flow* Touch(absl::Time now, FlowKey key, bool used);
 
   void Remove(FlowKey key);
 
-  /// Removes flows that were idle for kFlowIdleLimit.
+  /// Removes flows that were idle for kFlowIdleLimit, or kUnusedFlowIdleLimit.
   void RemoveIdle(absl::Time now);
 
-  bool full() const { return by_age_.size() >= capacity_; }
-  size_t size() const { return by_age_.size(); }
+  bool full() const { return flows_.size() >= capacity_; }
+  size_t size() const { return flows_.size(); }
 
  private:
+  using Flows = std::list<Flow>;
+
+  void RemoveIdle(absl::Time now, absl::Duration limit, Flows& flows);
+
   size_t capacity_ = 0;
   // Least recently used first.
-  std::list<Flow> by_age_;
-  absl::flat_hash_map<FlowKey, std::list<Flow>::iterator> flows_;
+  Flows used_;
+  Flows unused_;
+  absl::flat_hash_map<FlowKey, Flows::iterator> flows_;
 };
 
 }  // namespace skylarkshunt
