--- a/include/skylarkshunt/serial/json_object.h
+++ b/include/skylarkshunt/serial/json_object.h
@@ -41,6 +41,11 @@
   /// The readers below fail for a missing key, a wrong type or a value out of
   /// range, and then return a default.
   std::string Text(absl::string_view key, size_t min_bytes, size_t max_bytes);
+  /// A name of up to kMaxNameBytes: lower-case letters, digits, '-' and '_',
+  /// beginning with a letter. Such a name fits into object keys and URLs.
+  std::string Name(absl::string_view key);
+  /// Names as above, none of them twice.
+  std::vector<std::string> Names(absl::string_view key, size_t max_count);
   /// Text that is one of `choices`; returns its index.
   size_t Choice(absl::string_view key,
                 absl::Span<const absl::string_view> choices);
@@ -62,6 +67,9 @@
             absl::string_view found,
             absl::string_view remedy);
 
+  /// Longest name of a service, kind, region or data centre, in bytes.
+  static constexpr size_t kMaxNameBytes = 63;
+
   bool ok() const { return problem_.empty(); }
   /// Success when every field fitted and no key is unknown.
   Result<void> Finish();
--- a/lib/configuration/service_config.cc
+++ b/lib/configuration/service_config.cc
@@ -47,7 +47,7 @@
   JsonObjectReader reader(value, kSource, "", kKind);
   ServiceConfig config;
   config.uid = ReadUid(reader);
-  config.name = ReadName(reader, "name");
+  config.name = reader.Name("name");
   config.apply_id = reader.Text("apply_id", 1, kMaxApplyIdBytes);
   BOOST_OUTCOME_TRY(ReadServiceFields(reader, kSource, kKind, config));
   BOOST_OUTCOME_TRY(reader.Finish());
--- a/lib/configuration/service_fields.cc
+++ b/lib/configuration/service_fields.cc
@@ -1,9 +1,7 @@
 #include "service_fields.h"
 
-#include <algorithm>
 #include <set>
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 
 namespace skylarkshunt {
@@ -21,15 +19,6 @@
 constexpr int64_t kMaxDrainLimitS = 3600;
 constexpr int64_t kMaxWarmUpStepMs = 600'000;
 
-bool IsName(absl::string_view text) {
-  if (text.empty() || !absl::ascii_islower(text[0]))
-    return false;
-  return std::all_of(text.begin(), text.end(), [](unsigned char c) {
-    return absl::ascii_islower(c) || absl::ascii_isdigit(c) || c == '-' ||
-           c == '_';
-  });
-}
-
 Result<KindConfig> ReadKind(const nlohmann::json& value,
                             absl::string_view source,
                             size_t index,
@@ -37,7 +26,7 @@
   JsonObjectReader reader(value, source, absl::StrCat("kinds[", index, "]"),
                           error_kind);
   KindConfig kind;
-  kind.name = ReadName(reader, "name");
+  kind.name = reader.Name("name");
   kind.weight = static_cast<uint32_t>(reader.Integer("weight", 1, kMaxWeight));
   kind.idempotent = reader.Boolean("idempotent");
   kind.usual_duration = absl::Milliseconds(
@@ -67,34 +56,13 @@
 
 void ReadDataCentres(JsonObjectReader& reader,
                      std::vector<std::string>& data_centres) {
-  data_centres = reader.Texts("data_centres", kMaxDataCentres, kMaxNameBytes);
+  data_centres = reader.Names("data_centres", kMaxDataCentres);
   if (reader.ok() && data_centres.empty())
     reader.Fail("data_centres", "is empty", "name at least one data centre");
-  std::set<std::string> names;
-  for (const std::string& name : data_centres) {
-    if (!IsName(name)) {
-      reader.Fail("data_centres", absl::StrCat("has \"", name, "\""),
-                  "use lower-case letters, digits, '-' and '_'");
-    }
-    if (!names.insert(name).second) {
-      reader.Fail("data_centres", absl::StrCat("names '", name, "' twice"),
-                  "name each data centre once");
-    }
-  }
 }
 
 }  // namespace
 
-std::string ReadName(JsonObjectReader& reader, absl::string_view key) {
-  std::string name = reader.Text(key, 1, kMaxNameBytes);
-  if (reader.ok() && !IsName(name)) {
-    reader.Fail(key, absl::StrCat("is \"", name, "\""),
-                "begin with a lower-case letter and use lower-case letters, "
-                "digits, '-' and '_'");
-  }
-  return name;
-}
-
 Result<void> ReadServiceFields(JsonObjectReader& reader,
                                absl::string_view source,
                                ErrorKind kind,
--- a/lib/configuration/service_fields.h
+++ b/lib/configuration/service_fields.h
@@ -10,12 +10,6 @@
 
 /// Largest text of a service object or a questionnaire, in bytes.
 inline constexpr size_t kMaxServiceBytes = 65'536;
-/// Longest name of a service, kind or data centre, in bytes.
-inline constexpr size_t kMaxNameBytes = 63;
-
-/// Reads the name at `key`: lower-case letters, digits, '-' and '_', beginning
-/// with a letter. It becomes part of an object key and of a URL. Thread-safe.
-std::string ReadName(JsonObjectReader& reader, absl::string_view key);
 
 /// Reads the fields that a questionnaire and a stored service have in common:
 /// kinds, slots, connections, data_centres, deadline_ms, drain_limit_s and
--- a/lib/serial/json_object.cc
+++ b/lib/serial/json_object.cc
@@ -1,5 +1,8 @@
 #include "skylarkshunt/serial/json_object.h"
 
+#include <algorithm>
+
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 
@@ -42,6 +45,19 @@
   std::string* repeated_;
 };
 
+constexpr absl::string_view kNameRemedy =
+    "begin with a lower-case letter and use lower-case letters, digits, '-' "
+    "and '_'";
+
+bool IsName(absl::string_view text) {
+  if (text.empty() || !absl::ascii_islower(static_cast<unsigned char>(text[0])))
+    return false;
+  return std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return absl::ascii_islower(c) || absl::ascii_isdigit(c) || c == '-' ||
+           c == '_';
+  });
+}
+
 std::string Shorten(const nlohmann::json& value) {
   constexpr size_t kMaxShown = 60;
   std::string text =
@@ -131,6 +147,26 @@
   return field->get<std::string>();
 }
 
+std::string JsonObjectReader::Name(absl::string_view key) {
+  std::string name = Text(key, 1, kMaxNameBytes);
+  if (ok() && !IsName(name))
+    Fail(key, absl::StrCat("is \"", name, "\""), kNameRemedy);
+  return name;
+}
+
+std::vector<std::string> JsonObjectReader::Names(absl::string_view key,
+                                                 size_t max_count) {
+  std::vector<std::string> names = Texts(key, max_count, kMaxNameBytes);
+  std::set<std::string> seen;
+  for (const std::string& name : names) {
+    if (!IsName(name))
+      Fail(key, absl::StrCat("has \"", name, "\""), kNameRemedy);
+    if (!seen.insert(name).second)
+      Fail(key, absl::StrCat("names '", name, "' twice"), "name each once");
+  }
+  return names;
+}
+
 size_t JsonObjectReader::Choice(absl::string_view key,
                                 absl::Span<const absl::string_view> choices) {
   const std::string remedy =
