Add the platform client and the stand-in platform

Cause: configuration lives in the platform's object API, and its outages, lost answers, limits and expired watches must be met in tests. Change: lib/platform (one connection per call, so that a refused connection is told apart from a lost answer); standins/platform with faults switched over HTTP, call limits, counts and a bounded change log. platform_client.h states the allowed keys and that bodies travel as text.

--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -29,7 +29,12 @@
 /// Blocking HTTP client of the platform's object API. Not thread-safe: one
 /// client per thread. Every call ends within the timeout of the options.
 ///
-/// Protocol (JSON over HTTP/1.1):
+/// Keys and prefixes have 1 to 200 letters, digits, '-', '_', '.' and '/';
+/// every call fails with kInvalidArgument for others, and Write() for bodies
+/// above 1 MiB.
+///
+/// Protocol (JSON over HTTP/1.1; revisions are numbers, "body" in answers is
+/// the object's JSON text as a string):
 ///   GET    /v1/objects/KEY             200 {"key","revision","body"} | 404
 ///   GET    /v1/objects?prefix=P        200 {"revision","objects":[...]}
 ///   PUT    /v1/objects/KEY  body JSON; If-Match: "REV" or If-None-Match: *
--- /dev/null
+++ b/standins/platform/platform_core.cc
@@ -0,0 +1,186 @@
+#include "standins/platform/platform_core.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/time/clock.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kPreconditionFailed = 412;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+constexpr int kInsufficientStorage = 507;
+
+nlohmann::json ToJson(const StoredObject& object) {
+  nlohmann::json value = {{"key", object.key}, {"revision", object.revision}};
+  if (object.deleted)
+    value["deleted"] = true;
+  else
+    value["body"] = object.body;
+  return value;
+}
+
+nlohmann::json ToJson(const std::vector<StoredObject>& objects) {
+  nlohmann::json values = nlohmann::json::array();
+  for (const StoredObject& object : objects)
+    values.push_back(ToJson(object));
+  return values;
+}
+
+PlatformAnswer MakeAnswer(int status, const nlohmann::json& value) {
+  return {status,
+          value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+}
+
+PlatformAnswer MakeAnswer(int status) {
+  return MakeAnswer(status, nlohmann::json::object());
+}
+
+bool IsChange(CallKind kind) {
+  return kind == CallKind::kWrite || kind == CallKind::kRemove;
+}
+
+}  // namespace
+
+PlatformCore::PlatformCore(const Options& options)
+    : store_(options.max_log),
+      writes_(options.writes_per_second),
+      reads_(options.reads_per_second) {}
+
+bool PlatformCore::TakeFault(FaultMode mode) {
+  if (fault_.mode != mode)
+    return false;
+  ++counts_.faulted;
+  if (fault_.count == 0)
+    return true;
+  if (--fault_.count == 0)
+    fault_.mode = fault_.then;
+  return true;
+}
+
+absl::optional<PlatformAnswer> PlatformCore::Admit(CallKind kind) {
+  ++counts_.by_kind[static_cast<size_t>(kind)];
+  CallLimiter& limiter = IsChange(kind) ? writes_ : reads_;
+  if (!limiter.Take(absl::Now())) {
+    ++counts_.rejected;
+    return MakeAnswer(kTooManyRequests);
+  }
+  const absl::Duration delay = fault_.delay;
+  if (TakeFault(FaultMode::kSlow)) {
+    const absl::Time end = absl::Now() + delay;
+    while (!stopped_ && absl::Now() < end)
+      changed_.WaitWithDeadline(&mutex_, end);
+  }
+  if (stopped_ || TakeFault(FaultMode::kDown))
+    return MakeAnswer(kServiceUnavailable);
+  return absl::nullopt;
+}
+
+PlatformAnswer PlatformCore::Read(absl::string_view key) {
+  absl::MutexLock lock(&mutex_);
+  if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kRead))
+    return *answer;
+  const StoredObject* object = store_.Find(key);
+  return object == nullptr ? MakeAnswer(kNotFound)
+                           : MakeAnswer(kOk, ToJson(*object));
+}
+
+PlatformAnswer PlatformCore::List(absl::string_view prefix) {
+  absl::MutexLock lock(&mutex_);
+  if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kList))
+    return *answer;
+  return MakeAnswer(kOk, {{"revision", store_.revision()},
+                          {"objects", ToJson(store_.List(prefix))}});
+}
+
+PlatformAnswer PlatformCore::AnswerChange(const ChangeResult& result) {
+  const nlohmann::json revision = {{"revision", result.revision}};
+  switch (result.outcome) {
+    case ChangeOutcome::kNotFound:
+      return MakeAnswer(kNotFound);
+    case ChangeOutcome::kConflict:
+      return MakeAnswer(kPreconditionFailed, revision);
+    case ChangeOutcome::kTooLarge:
+      return MakeAnswer(kPayloadTooLarge);
+    case ChangeOutcome::kFull:
+      return MakeAnswer(kInsufficientStorage);
+    case ChangeOutcome::kDone:
+      break;
+  }
+  changed_.SignalAll();
+  PlatformAnswer answer = MakeAnswer(kOk, revision);
+  answer.cut_off = TakeFault(FaultMode::kLoseAnswers);
+  return answer;
+}
+
+PlatformAnswer PlatformCore::Write(absl::string_view key,
+                                   absl::string_view body,
+                                   uint64_t expected) {
+  absl::MutexLock lock(&mutex_);
+  if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kWrite))
+    return *answer;
+  return AnswerChange(store_.Put(key, body, expected));
+}
+
+PlatformAnswer PlatformCore::Remove(absl::string_view key, uint64_t expected) {
+  absl::MutexLock lock(&mutex_);
+  if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kRemove))
+    return *answer;
+  return AnswerChange(store_.Remove(key, expected));
+}
+
+PlatformAnswer PlatformCore::AwaitChanges(absl::string_view prefix,
+                                          uint64_t after,
+                                          absl::Duration wait) {
+  const absl::Time end = absl::Now() + wait;
+  while (true) {
+    if (stopped_ || fault_.mode == FaultMode::kDown)
+      return MakeAnswer(kServiceUnavailable);
+    const absl::optional<std::vector<StoredObject>> changes =
+        store_.ChangesAfter(prefix, after);
+    if (!changes.has_value())
+      return MakeAnswer(kGone);
+    if (!changes->empty() || absl::Now() >= end) {
+      return MakeAnswer(kOk, {{"revision", store_.revision()},
+                              {"changes", ToJson(*changes)}});
+    }
+    changed_.WaitWithDeadline(&mutex_, end);
+  }
+}
+
+PlatformAnswer PlatformCore::Watch(absl::string_view prefix,
+                                   uint64_t after,
+                                   absl::Duration wait) {
+  absl::MutexLock lock(&mutex_);
+  if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kWatch))
+    return *answer;
+  if (TakeFault(FaultMode::kExpireWatches))
+    return MakeAnswer(kGone);
+  return AwaitChanges(prefix, after, wait);
+}
+
+void PlatformCore::SetFault(const Fault& fault) {
+  absl::MutexLock lock(&mutex_);
+  fault_ = fault;
+  if (fault.mode == FaultMode::kExpireWatches)
+    store_.DropLog();
+  changed_.SignalAll();
+}
+
+CallCounts PlatformCore::counts() const {
+  absl::MutexLock lock(&mutex_);
+  return counts_;
+}
+
+void PlatformCore::Stop() {
+  absl::MutexLock lock(&mutex_);
+  stopped_ = true;
+  changed_.SignalAll();
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/standins/platform/platform_core.h
@@ -0,0 +1,93 @@
+#ifndef SKYLARKSHUNT_STANDINS_PLATFORM_PLATFORM_CORE_H_
+#define SKYLARKSHUNT_STANDINS_PLATFORM_PLATFORM_CORE_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/strings/string_view.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "standins/platform/call_limiter.h"
+#include "standins/platform/fault.h"
+#include "standins/platform/object_store.h"
+
+namespace skylarkshunt {
+
+/// Kinds of call that the stand-in counts.
+enum class CallKind { kRead, kList, kWrite, kRemove, kWatch };
+inline constexpr size_t kCallKinds = 5;
+
+struct CallCounts {
+  std::array<uint64_t, kCallKinds> by_kind = {};
+  /// Answered 429.
+  uint64_t rejected = 0;
+  /// Hit by a fault.
+  uint64_t faulted = 0;
+};
+
+/// An HTTP answer. `cut_off` ends the connection before the body.
+struct PlatformAnswer {
+  int status = 200;
+  std::string body;
+  bool cut_off = false;
+};
+
+/// Everything the stand-in platform does, apart from HTTP itself. Thread-safe;
+/// each call is meant for a thread of its own, since slow calls and watches
+/// wait.
+class PlatformCore {
+ public:
+  struct Options {
+    uint32_t writes_per_second = 400;
+    uint32_t reads_per_second = 2000;
+    /// Changes kept for watches.
+    size_t max_log = 10'000;
+  };
+
+  explicit PlatformCore(const Options& options);
+
+  PlatformAnswer Read(absl::string_view key);
+  PlatformAnswer List(absl::string_view prefix);
+  PlatformAnswer Write(absl::string_view key,
+                       absl::string_view body,
+                       uint64_t expected);
+  PlatformAnswer Remove(absl::string_view key, uint64_t expected);
+  PlatformAnswer Watch(absl::string_view prefix,
+                       uint64_t after,
+                       absl::Duration wait);
+
+  void SetFault(const Fault& fault);
+  CallCounts counts() const;
+  /// Ends all waits; calls are answered 503 from now on.
+  void Stop();
+
+ private:
+  /// Counts a call, applies limits and faults; returns an answer when the call
+  /// ends here.
+  absl::optional<PlatformAnswer> Admit(CallKind kind)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// Whether `mode` is set; then one call of its count is used up.
+  bool TakeFault(FaultMode mode) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  PlatformAnswer AnswerChange(const ChangeResult& result)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  PlatformAnswer AwaitChanges(absl::string_view prefix,
+                              uint64_t after,
+                              absl::Duration wait)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  mutable absl::Mutex mutex_;
+  absl::CondVar changed_;
+  ObjectStore store_ ABSL_GUARDED_BY(mutex_);
+  CallLimiter writes_ ABSL_GUARDED_BY(mutex_);
+  CallLimiter reads_ ABSL_GUARDED_BY(mutex_);
+  Fault fault_ ABSL_GUARDED_BY(mutex_);
+  CallCounts counts_ ABSL_GUARDED_BY(mutex_);
+  bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_STANDINS_PLATFORM_PLATFORM_CORE_H_
--- /dev/null
+++ b/unittests/platform/platform_client_test.cc
@@ -0,0 +1,167 @@
+#include "skylarkshunt/platform/platform_client.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+#include "standins/platform/platform_server.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr absl::Duration kLongWait = absl::Seconds(30);
+constexpr char kKey[] = "services/dispatch";
+
+std::unique_ptr<PlatformServer> StartServer(
+    const PlatformCore::Options& core = PlatformCore::Options()) {
+  PlatformServer::Options options;
+  options.listen = Endpoint::Parse("127.0.0.1:0").value();
+  options.core = core;
+  return std::move(PlatformServer::Start(options).value());
+}
+
+std::unique_ptr<PlatformClient> Connect(
+    const PlatformServer& server,
+    absl::Duration timeout = absl::Seconds(20)) {
+  return std::move(PlatformClient::Create({server.address(), timeout}).value());
+}
+
+class PlatformClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformClientTest);
+  CPPUNIT_TEST(ConditionalChangesAreChecked);
+  CPPUNIT_TEST(LostAnswerIsOutcomeUnknownAndNotRepeated);
+  CPPUNIT_TEST(WriteOnSlowPlatformIsOutcomeUnknown);
+  CPPUNIT_TEST(DownAndRefusedAreUnavailable);
+  CPPUNIT_TEST(WatchWakesOnChange);
+  CPPUNIT_TEST(ExpiredWatchAsksForList);
+  CPPUNIT_TEST(LimitedCallsAreRejected);
+  CPPUNIT_TEST(BadKeysAndBodiesAreRejected);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against overwriting another operator's change.
+  void ConditionalChangesAreChecked() {
+    auto server = StartServer();
+    auto client = Connect(*server);
+    const std::string body = "{\"a\": \"\\u00e9 \\\"x\\\"\"}";
+    const Revision first = client->Write(kKey, body, Revision{}).value();
+    CPPUNIT_ASSERT_EQUAL(body, client->Read(kKey).value().body);
+    CPPUNIT_ASSERT(client->Write(kKey, "{}", Revision{}).error().kind ==
+                   ErrorKind::kConflict);
+    const Revision second = client->Write(kKey, "{}", first).value();
+    CPPUNIT_ASSERT(ToNumber(second) > ToNumber(first));
+    CPPUNIT_ASSERT(client->Write(kKey, "{}", first).error().kind ==
+                   ErrorKind::kConflict);
+    CPPUNIT_ASSERT(client->Remove(kKey, first).error().kind ==
+                   ErrorKind::kConflict);
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         client->List("services/").value().objects.size());
+    CPPUNIT_ASSERT(client->Remove(kKey, second).has_value());
+    CPPUNIT_ASSERT(client->Remove(kKey, second).error().kind ==
+                   ErrorKind::kNotFound);
+    CPPUNIT_ASSERT(client->Read(kKey).error().kind == ErrorKind::kNotFound);
+  }
+
+  // Guards against repeating a write that took effect.
+  void LostAnswerIsOutcomeUnknownAndNotRepeated() {
+    auto server = StartServer();
+    auto client = Connect(*server);
+    server->core().SetFault({FaultMode::kLoseAnswers});
+    CPPUNIT_ASSERT(client->Write(kKey, "{}", Revision{}).error().kind ==
+                   ErrorKind::kOutcomeUnknown);
+    const size_t writes = static_cast<size_t>(CallKind::kWrite);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, server->core().counts().by_kind[writes]);
+    const ConfigRecord record = client->Read(kKey).value();
+    CPPUNIT_ASSERT(client->Remove(kKey, record.revision).error().kind ==
+                   ErrorKind::kOutcomeUnknown);
+    CPPUNIT_ASSERT(client->Read(kKey).error().kind == ErrorKind::kNotFound);
+  }
+
+  void WriteOnSlowPlatformIsOutcomeUnknown() {
+    auto server = StartServer();
+    auto client = Connect(*server, absl::Milliseconds(200));
+    server->core().SetFault({FaultMode::kSlow, kLongWait});
+    CPPUNIT_ASSERT(client->Write(kKey, "{}", Revision{}).error().kind ==
+                   ErrorKind::kOutcomeUnknown);
+    CPPUNIT_ASSERT(client->Read(kKey).error().kind == ErrorKind::kUnavailable);
+  }
+
+  void DownAndRefusedAreUnavailable() {
+    auto server = StartServer();
+    auto client = Connect(*server);
+    server->core().SetFault({FaultMode::kDown});
+    CPPUNIT_ASSERT(client->Write(kKey, "{}", Revision{}).error().kind ==
+                   ErrorKind::kUnavailable);
+    CPPUNIT_ASSERT(client->Read(kKey).error().kind == ErrorKind::kUnavailable);
+    server.reset();
+    // Nothing was sent, so the outcome is known.
+    CPPUNIT_ASSERT(client->Write(kKey, "{}", Revision{}).error().kind ==
+                   ErrorKind::kUnavailable);
+  }
+
+  void WatchWakesOnChange() {
+    auto server = StartServer();
+    auto client = Connect(*server);
+    const Revision first = client->Write(kKey, "{}", Revision{}).value();
+    std::thread writer([&server] {
+      Connect(*server)->Write("other/x", "{}", Revision{}).value();
+      Connect(*server)->Write("services/registre", "{}", Revision{}).value();
+    });
+    Result<WatchBatch> batch = client->Watch("services/", first, kLongWait);
+    writer.join();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, batch.value().changes.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("services/registre"),
+                         batch.value().changes[0].key);
+    // A wait that ends without a change is no error.
+    batch = client->Watch("services/", batch.value().revision,
+                          absl::Milliseconds(1));
+    CPPUNIT_ASSERT(batch.value().changes.empty());
+  }
+
+  // Guards against missing changes after a long gap.
+  void ExpiredWatchAsksForList() {
+    PlatformCore::Options core;
+    core.max_log = 2;
+    auto server = StartServer(core);
+    auto client = Connect(*server);
+    const Revision first = client->Write(kKey, "{}", Revision{}).value();
+    for (const char* key : {"services/a", "services/b", "services/c"})
+      client->Write(key, "{}", Revision{}).value();
+    CPPUNIT_ASSERT(client->Watch("services/", first, kLongWait).error().kind ==
+                   ErrorKind::kNotFound);
+    const Revision now = client->List("services/").value().revision;
+    server->core().SetFault(
+        {FaultMode::kExpireWatches, absl::ZeroDuration(), 1});
+    CPPUNIT_ASSERT(client->Watch("services/", now, kLongWait).error().kind ==
+                   ErrorKind::kNotFound);
+    CPPUNIT_ASSERT(
+        client->Watch("services/", now, absl::ZeroDuration()).has_value());
+  }
+
+  void LimitedCallsAreRejected() {
+    PlatformCore::Options core;
+    core.writes_per_second = 0;
+    auto server = StartServer(core);
+    CPPUNIT_ASSERT(
+        Connect(*server)->Write(kKey, "{}", Revision{}).error().kind ==
+        ErrorKind::kRateLimited);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, server->core().counts().rejected);
+  }
+
+  void BadKeysAndBodiesAreRejected() {
+    auto server = StartServer();
+    auto client = Connect(*server);
+    for (const char* key : {"", "services/a b", "a?b", "a\r\nX: y"}) {
+      CPPUNIT_ASSERT(client->Read(key).error().kind ==
+                     ErrorKind::kInvalidArgument);
+    }
+    CPPUNIT_ASSERT(client->Write(kKey, std::string(1'100'000, ' '), Revision{})
+                       .error()
+                       .kind == ErrorKind::kInvalidArgument);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformClientTest);
+
+}  // namespace
+}  // namespace skylarkshunt
