--- a/include/skylarkshunt/placement/router.h
+++ b/include/skylarkshunt/placement/router.h
@@ -95,19 +95,16 @@
 
   RouteResult RouteRequest(absl::Time now, Endpoint caller, Request request);
   RouteResult RouteFollowUp(Endpoint caller, CallerMessage message);
-  RouteResult RouteBoundRequest(const RoutedService& service,
-                                FlowKey flow,
-                                Forward forward) const;
-  RouteResult RouteBound(const RoutedService& service,
-                         const RoutedTarget& target,
-                         FlowKey flow,
-                         Forward forward) const;
-  RouteResult RouteAlongList(RouteKind kind,
-                             FlowKey flow,
-                             Forward forward) const;
-  Forward NewForward(const RoutedService& service,
-                     Endpoint caller,
-                     CallerMessage message) const;
+  RouteResult NewRoute(const RoutedService& service,
+                       FlowKey flow,
+                       Endpoint caller,
+                       CallerMessage message) const;
+  void RouteBoundRequest(const RoutedService& service,
+                         RouteResult& result) const;
+  void RouteBound(const RoutedService& service,
+                  const RoutedTarget& target,
+                  RouteResult& result) const;
+  void SendAlongList(RouteKind kind, RouteResult& result) const;
   void OrderForOpening(absl::Time now,
                        const RoutedService& service,
                        const Request& request,
--- a/include/skylarkshunt/placement/service_table.h
+++ b/include/skylarkshunt/placement/service_table.h
@@ -31,6 +31,11 @@
   /// Empty when there are no targets. Does not allocate.
   CandidateList Candidates(FlowKey flow) const;
 
+  /// Appends candidates of `flow` that `list` does not have yet, from the
+  /// current generation only, until it has `limit`. Does not allocate.
+  /// Precondition: `limit` is at most kMaxCandidates.
+  void AppendCandidates(FlowKey flow, size_t limit, CandidateList& list) const;
+
   /// Returns the first candidate of `flow`, as plain hashing would choose it,
   /// or null when there are no targets.
   const Candidate* First(FlowKey flow) const;
@@ -46,7 +51,6 @@
   ServiceTable() = default;
 
   void Fill();
-  void Append(FlowKey flow, size_t limit, CandidateList& list) const;
 
   std::vector<Candidate> targets_;
   /// Indices into targets_.
--- a/lib/placement/router.cc
+++ b/lib/placement/router.cc
@@ -15,6 +15,13 @@
 /// From this attempt on, an idempotent request leaves a bound target that has
 /// not answered.
 constexpr uint32_t kMoveAtAttempt = 4;
+/// The bound target and two others to which it may transfer.
+constexpr size_t kBoundListSize = 3;
+
+/// Precondition: the action is still the one of NewRoute().
+Forward& ForwardOf(RouteResult& result) {
+  return std::get<RouteToAgent>(result.action).forward;
+}
 
 /// Answers an unbound request as not run, which is true: it can run only after
 /// an agent has taken it or bound its flow. A bound one may have run at its
@@ -127,35 +134,45 @@
   if (service == nullptr)
     return Refuse(caller, request, FlowKey{}, Reason::kUnknownService);
   const FlowKey flow = MakeFlowKey(service->config.uid, request.flow_id);
-  Forward forward = NewForward(*service, caller, std::move(request));
+  RouteResult result =
+      NewRoute(*service, flow, caller, CallerMessage(std::move(request)));
+  Forward& forward = ForwardOf(result);
   const Request& sent = std::get<Request>(forward.message);
+  if (sent.binding.has_value()) {
+    RouteBoundRequest(*service, result);
+    return result;
+  }
   forward.candidates = service->table->Candidates(flow);
-  if (sent.binding.has_value())
-    return RouteBoundRequest(*service, flow, std::move(forward));
   if (forward.candidates.empty())
     return Refuse(caller, sent, flow, Reason::kNoTarget);
-  if (!sent.opening)
-    return RouteAlongList(RouteKind::kUnbound, flow, std::move(forward));
-  OrderForOpening(now, *service, sent, forward);
-  return RouteAlongList(RouteKind::kOpening, flow, std::move(forward));
+  if (sent.opening)
+    OrderForOpening(now, *service, sent, forward);
+  SendAlongList(sent.opening ? RouteKind::kOpening : RouteKind::kUnbound,
+                result);
+  return result;
 }
 
-RouteResult Router::RouteBoundRequest(const RoutedService& service,
-                                      FlowKey flow,
-                                      Forward forward) const {
+void Router::RouteBoundRequest(const RoutedService& service,
+                               RouteResult& result) const {
+  Forward& forward = ForwardOf(result);
   const Request& request = std::get<Request>(forward.message);
+  const FlowKey flow = result.decision.flow;
   const RoutedTarget* target =
       snapshot_->FindTarget(request.binding->target_uid);
   if (target != nullptr && !ShouldMove(service, *target, request))
-    return RouteBound(service, *target, flow, std::move(forward));
+    return RouteBound(service, *target, result);
   // Only the bound target can tell whether a non-idempotent request ran.
-  const bool can_move =
-      IsIdempotent(service, request) && !forward.candidates.empty();
-  if (!can_move)
-    return Refuse(forward.caller, request, flow, Reason::kWrongInstance);
-  const RouteKind kind =
-      target == nullptr ? RouteKind::kUnknownBound : RouteKind::kMoved;
-  return RouteAlongList(kind, flow, std::move(forward));
+  if (!IsIdempotent(service, request)) {
+    result = Refuse(forward.caller, request, flow, Reason::kWrongInstance);
+    return;
+  }
+  forward.candidates = service.table->Candidates(flow);
+  if (forward.candidates.empty()) {
+    result = Refuse(forward.caller, request, flow, Reason::kNoTarget);
+    return;
+  }
+  SendAlongList(
+      target == nullptr ? RouteKind::kUnknownBound : RouteKind::kMoved, result);
 }
 
 RouteResult Router::RouteFollowUp(Endpoint caller, CallerMessage message) {
@@ -163,61 +180,58 @@
   if (service == nullptr)
     return Drop(RequestIdOf(message), Reason::kUnknownService);
   const FlowKey flow = MakeFlowKey(service->config.uid, FlowId(message));
-  Forward forward = NewForward(*service, caller, std::move(message));
-  forward.candidates = service->table->Candidates(flow);
+  RouteResult result = NewRoute(*service, flow, caller, std::move(message));
+  Forward& forward = ForwardOf(result);
   const absl::optional<Binding>& binding = BindingOf(forward.message);
   if (!binding.has_value()) {
+    forward.candidates = service->table->Candidates(flow);
     if (forward.candidates.empty())
       return Drop(RequestIdOf(forward.message), Reason::kNoTarget);
-    return RouteAlongList(RouteKind::kUnbound, flow, std::move(forward));
+    SendAlongList(RouteKind::kUnbound, result);
+    return result;
   }
   const RoutedTarget* target = snapshot_->FindTarget(binding->target_uid);
   if (target == nullptr)
     return Drop(RequestIdOf(forward.message), Reason::kWrongInstance);
-  return RouteBound(*service, *target, flow, std::move(forward));
+  RouteBound(*service, *target, result);
+  return result;
 }
 
-RouteResult Router::RouteBound(const RoutedService& service,
-                               const RoutedTarget& target,
-                               FlowKey flow,
-                               Forward forward) const {
-  // The other candidates follow, so that the bound agent can hand over what it
-  // has not started.
-  CandidateList list;
+void Router::RouteBound(const RoutedService& service,
+                        const RoutedTarget& target,
+                        RouteResult& result) const {
+  // Others follow, so that the bound agent can hand over what it has not
+  // started.
+  CandidateList& list = ForwardOf(result).candidates;
   list.push_back(target.candidate);
-  for (const Candidate& candidate : forward.candidates) {
-    if (candidate.uid != target.candidate.uid && list.size() < kMaxCandidates)
-      list.push_back(candidate);
-  }
-  forward.candidates = std::move(list);
-  forward.service = service.config.uid;
-  return RouteAlongList(RouteKind::kBound, flow, std::move(forward));
+  service.table->AppendCandidates(result.decision.flow, kBoundListSize, list);
+  SendAlongList(RouteKind::kBound, result);
 }
 
-RouteResult Router::RouteAlongList(RouteKind kind,
-                                   FlowKey flow,
-                                   Forward forward) const {
-  assert(!forward.candidates.empty() && "a forward needs a receiver");
-  const Candidate& first = forward.candidates.front();
-  RouteResult result;
-  result.decision = RouteDecision{kind, flow, RequestIdOf(forward.message),
-                                  first.uid, Reason::kNone};
-  const Endpoint agent = first.data;
-  result.action = RouteToAgent{agent, std::move(forward)};
-  return result;
+void Router::SendAlongList(RouteKind kind, RouteResult& result) const {
+  auto& route = std::get<RouteToAgent>(result.action);
+  assert(!route.forward.candidates.empty() && "a forward needs a receiver");
+  const Candidate& first = route.forward.candidates.front();
+  route.agent = first.data;
+  result.decision.kind = kind;
+  result.decision.target = first.uid;
 }
 
-Forward Router::NewForward(const RoutedService& service,
-                           Endpoint caller,
-                           CallerMessage message) const {
-  Forward forward;
+RouteResult Router::NewRoute(const RoutedService& service,
+                             FlowKey flow,
+                             Endpoint caller,
+                             CallerMessage message) const {
+  RouteResult result;
+  result.decision.flow = flow;
+  result.decision.request_id = RequestIdOf(message);
+  Forward& forward = ForwardOf(result);
   forward.sender = options_.incarnation;
   forward.service = service.config.uid;
   forward.revision = service.revision;
   forward.caller = caller;
   forward.entry = options_.entry;
   forward.message = std::move(message);
-  return forward;
+  return result;
 }
 
 void Router::OrderForOpening(absl::Time now,
--- a/lib/placement/service_table.cc
+++ b/lib/placement/service_table.cc
@@ -103,9 +103,9 @@
   return &targets_[slots_[StableHash(ToNumber(flow), 0) % slots_.size()]];
 }
 
-void ServiceTable::Append(FlowKey flow,
-                          size_t limit,
-                          CandidateList& list) const {
+void ServiceTable::AppendCandidates(FlowKey flow,
+                                    size_t limit,
+                                    CandidateList& list) const {
   if (targets_.empty())
     return;
   for (uint64_t draw = 0; draw < kMaxDraws && list.size() < limit; ++draw) {
@@ -124,9 +124,10 @@
 
 CandidateList ServiceTable::Candidates(FlowKey flow) const {
   CandidateList list;
-  Append(flow, kMaxCurrentCandidates, list);
+  AppendCandidates(flow, kMaxCurrentCandidates, list);
   if (previous_ != nullptr)
-    previous_->Append(flow, std::min(list.size() + 2, kMaxCandidates), list);
+    previous_->AppendCandidates(flow, std::min(list.size() + 2, kMaxCandidates),
+                                list);
   return list;
 }
 
