Test the agent by generated histories

Single events don't show what pauses, restarts, drains, transfers, full ledgers and late copies do together. A seeded generator drives three agents with callers that keep the protocol and checks at each action that no report runs twice, that none runs after or before a "not run", and that each answer is the request's own.

--- a/lib/admission/duration_model.cc
+++ b/lib/admission/duration_model.cc
@@ -1,6 +1,7 @@
 #include "skylarkshunt/admission/duration_model.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -54,15 +55,17 @@
 
 void DurationModel::UpdateMedian() {
   std::vector<Learned> sorted;
-  double total = 0;
-  for (const auto& [name, learned] : kinds_) {
+  for (const auto& [name, learned] : kinds_)
     sorted.push_back(learned);
+  std::sort(
+      sorted.begin(), sorted.end(), [](const Learned& a, const Learned& b) {
+        return std::tie(a.duration, a.runs) < std::tie(b.duration, b.runs);
+      });
+  // Summed in sorted order, so that rounding does not depend on the order of
+  // the hash map.
+  double total = 0;
+  for (const Learned& learned : sorted)
     total += learned.runs;
-  }
-  std::sort(sorted.begin(), sorted.end(),
-            [](const Learned& a, const Learned& b) {
-              return a.duration < b.duration;
-            });
   double seen = 0;
   for (const Learned& learned : sorted) {
     seen += learned.runs;
--- /dev/null
+++ b/unittests/flows/agent_hunting_test.cc
@@ -0,0 +1,168 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "flows/agent_test_support.h"
+
+namespace skylarkshunt {
+namespace {
+
+class AgentHuntingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AgentHuntingTest);
+  CPPUNIT_TEST(BusyAgentPassesOnWithItsLoad);
+  CPPUNIT_TEST(LastCandidateReturnsToClearlyLowerLoad);
+  CPPUNIT_TEST(LastCandidateKeepsSimilarLoad);
+  CPPUNIT_TEST(FinalHopSettles);
+  CPPUNIT_TEST(BoundRequestGoesToItsAgent);
+  CPPUNIT_TEST(PassedAddressEndsTheSearch);
+  CPPUNIT_TEST(UnknownFlowGoesOnward);
+  CPPUNIT_TEST(FullFlowTableTakesNoFlow);
+  CPPUNIT_TEST(HopsAreBounded);
+  CPPUNIT_TEST(BaselineKeepsRequests);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void BusyAgentPassesOnWithItsLoad() {
+    TestAgent agent(0);
+    Occupy(agent, 3);
+    const SendForward passed = OnlyForward(agent.Send(New(10), 2));
+    CPPUNIT_ASSERT(passed.agent == TestCandidate(1).data);
+    CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(passed.forward.position));
+    CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(passed.forward.hops));
+    CPPUNIT_ASSERT_EQUAL(uint16_t{1500}, passed.forward.lowest_load);
+    CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(passed.forward.lowest_index));
+    CPPUNIT_ASSERT(!passed.forward.final_hop);
+  }
+
+  void LastCandidateReturnsToClearlyLowerLoad() {
+    TestAgent agent(1);
+    Occupy(agent, 3);
+    const SendForward back = OnlyForward(agent.Send(Passed(agent, 1000)));
+    CPPUNIT_ASSERT(back.agent == TestCandidate(0).data);
+    CPPUNIT_ASSERT(back.forward.final_hop);
+    CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(back.forward.position));
+  }
+
+  void LastCandidateKeepsSimilarLoad() {
+    TestAgent agent(1);
+    Occupy(agent, 3);
+    CPPUNIT_ASSERT(
+        Select<SendForward>(agent.Send(Passed(agent, 1400))).empty());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, agent.core().Stats().queued);
+    // An agent that takes nothing gives it back even to a loaded one.
+    agent.core().OnDrainOrder(agent.now(), true);
+    OnlyForward(agent.Send(Passed(agent, 5000)));
+    Forward nowhere = Passed(agent, kLoadFull);
+    ExpectOutcome(OnlyAnswer(agent.Send(nowhere)), Outcome::kNotRun,
+                  Reason::kDraining);
+  }
+
+  void FinalHopSettles() {
+    TestAgent agent(0);
+    Occupy(agent, 3);
+    Forward forward = agent.Wrap(New(10), 2);
+    forward.final_hop = true;
+    CPPUNIT_ASSERT(Select<SendForward>(agent.Send(forward)).empty());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, agent.core().Stats().queued);
+  }
+
+  void BoundRequestGoesToItsAgent() {
+    TestAgent agent(0);
+    const Binding other{TestCandidate(2).uid, TestCandidate(2).incarnation, 5};
+    for (const char* kind : {kReport, kPull}) {
+      const SendForward passed =
+          OnlyForward(agent.Send(MakeRequest(10, kind, other), 3));
+      CPPUNIT_ASSERT(passed.agent == TestCandidate(2).data);
+      CPPUNIT_ASSERT_EQUAL(2, static_cast<int>(passed.forward.position));
+    }
+  }
+
+  // Guards against a message that an address which passed to another target
+  // sends to itself for ever.
+  void PassedAddressEndsTheSearch() {
+    TestAgent agent(0);
+    const Binding other{InstanceUid{99}, Incarnation{1}, 5};
+    Forward forward = agent.Wrap(MakeRequest(10, kReport, other));
+    forward.candidates[0].uid = InstanceUid{99};
+    const AgentActions actions = agent.Send(forward);
+    CPPUNIT_ASSERT(Select<SendForward>(actions).empty());
+    ExpectOutcome(OnlyAnswer(actions), Outcome::kOutcomeUnknown,
+                  Reason::kWrongInstance);
+  }
+
+  void UnknownFlowGoesOnward() {
+    TestAgent agent(0);
+    Request request = New(10);
+    request.opening = false;
+    OnlyForward(agent.Send(request, 2));
+    ExpectOutcome(OnlyAnswer(agent.Send(request, 1)), Outcome::kNotRun,
+                  Reason::kFlowUnknown);
+    // A flow that is known here stays.
+    agent.Bind(request.flow_id);
+    OnlyStart(agent.Send(request, 2));
+    agent.Send(agent.Wrap(Close{kTestServiceName, 50, absl::nullopt}));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, agent.core().Stats().flows);
+  }
+
+  void FullFlowTableTakesNoFlow() {
+    TestAgent agent(0);
+    for (uint64_t flow = 1; flow <= 8; ++flow)
+      agent.Bind(flow);
+    Request request = New(20);
+    request.flow_id = 20;
+    ExpectOutcome(OnlyAnswer(agent.Send(request)), Outcome::kNotRun,
+                  Reason::kFlowLimit);
+    // Bindings that were never used hold their place for a short time only.
+    agent.Advance(kUnusedFlowIdleLimit);
+    OnlyStart(agent.Send(request));
+    agent.Advance(kFlowIdleLimit - absl::Milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, agent.core().Stats().flows);
+    agent.Advance(absl::Milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, agent.core().Stats().flows);
+  }
+
+  void HopsAreBounded() {
+    TestAgent agent(0);
+    Occupy(agent, 3);
+    Forward forward = agent.Wrap(New(10), 2);
+    forward.hops = kMaxHops;
+    CPPUNIT_ASSERT(Select<SendForward>(agent.Send(forward)).empty());
+  }
+
+  void BaselineKeepsRequests() {
+    AgentPolicy policy;
+    policy.no_second_candidate = true;
+    TestAgent agent(0, {}, policy);
+    Occupy(agent, 3);
+    CPPUNIT_ASSERT(Select<SendForward>(agent.Send(New(10), 2)).empty());
+  }
+
+ private:
+  static Request New(uint64_t id) {
+    Request request = MakeRequest(id, kPull);
+    request.flow_id = 50;
+    return request;
+  }
+
+  static void Occupy(TestAgent& agent, size_t requests) {
+    for (size_t i = 0; i < requests; ++i) {
+      Forward forward = agent.Wrap(MakeRequest(800 + i, kPull));
+      forward.final_hop = true;
+      agent.Send(forward);
+    }
+  }
+
+  // An opening message that candidate 0 passed on with `load`.
+  static Forward Passed(TestAgent& agent, uint16_t load) {
+    Forward forward = agent.Wrap(New(10), 2);
+    forward.hops = 1;
+    forward.lowest_load = load;
+    forward.lowest_index = 0;
+    std::get<Request>(forward.message).request_id.low += load;
+    std::get<Request>(forward.message).flow_id += load;
+    return forward;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentHuntingTest);
+
+}  // namespace
+}  // namespace skylarkshunt
--- /dev/null
+++ b/unittests/flows/generator_world.h
@@ -0,0 +1,103 @@
+#ifndef SKYLARKSHUNT_UNITTESTS_FLOWS_GENERATOR_WORLD_H_
+#define SKYLARKSHUNT_UNITTESTS_FLOWS_GENERATOR_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "flows/agent_limits.h"
+#include "skylarkshunt/flows/agent_core.h"
+
+namespace skylarkshunt {
+
+/// How often something happened in a generated history, to show that the
+/// history was not an easy one.
+struct WorldCounts {
+  uint64_t answered = 0;
+  uint64_t refused = 0;
+  uint64_t unknown = 0;
+  uint64_t transferred = 0;
+  uint64_t pauses = 0;
+  uint64_t restarts = 0;
+  uint64_t late_copies = 0;
+  uint64_t full_ledgers = 0;
+};
+
+/// Several agents, callers that keep the protocol, and a network that delays,
+/// copies and reorders messages beyond every horizon. Checks the invariants at
+/// each action of an agent. The same seed gives the same history.
+class GeneratorWorld {
+ public:
+  explicit GeneratorWorld(uint64_t seed);
+
+  /// Runs the whole history. Returns what broke first; empty when nothing did.
+  std::string Run();
+
+  const WorldCounts& counts() const { return counts_; }
+
+ private:
+  struct Agent {
+    std::unique_ptr<AgentCore> core;
+    uint64_t generation = 0;
+    Incarnation former{};
+    absl::Duration clock_offset;
+    absl::Time paused_until;
+    AgentStats last_stats;
+  };
+  struct Call {
+    Request request;
+    bool idempotent = false;
+    bool settled = false;
+    int runs = 0;
+    bool refused = false;
+  };
+
+  // Scenario.
+  void ScheduleDisturbances();
+  void Disturb(size_t index);
+  void Restart(size_t index);
+  void TickAll();
+
+  // Callers.
+  void NewCall();
+  void Transmit(uint64_t id);
+  void OnAnswer(const Answer& answer);
+
+  // Network.
+  void At(absl::Duration delay, std::function<void()> event);
+  void SendCopies(const std::function<void()>& deliver);
+  Forward Route(const CallerMessage& message,
+                const absl::optional<Binding>& binding);
+  void Deliver(size_t index, const Forward& forward);
+
+  // Agents.
+  void Apply(size_t index, const AgentActions& actions);
+  void OnStart(size_t index, const StartRun& start);
+  void OnReply(const Reply& reply);
+  void EndRun(size_t index, uint64_t generation, const StartRun& start);
+  absl::Time Clock(size_t index) const;
+
+  bool Chance(double probability);
+  uint64_t Draw(uint64_t below);
+  absl::Duration DrawMs(uint64_t from, uint64_t to);
+  void Fail(const std::string& what, uint64_t id);
+
+  std::mt19937_64 random_;
+  AgentLimits limits_;
+  absl::Time now_;
+  std::multimap<absl::Time, std::function<void()>> events_;
+  std::vector<Agent> agents_;
+  std::map<uint64_t, Call> calls_;
+  std::map<uint64_t, Binding> flow_bindings_;
+  WorldCounts counts_;
+  std::string failure_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_UNITTESTS_FLOWS_GENERATOR_WORLD_H_
