Say not run only where it is proved

Cause: a refusal of an idempotent or unbound request as 'not run' can be false, since another copy may have reached another agent: attempt 1 queued at one agent, attempt 2 refused by the next. Ruled out: remembering refusals, which only covers one agent. The generated histories now check 'not run' for every request, not only for non-idempotent ones.

--- a/lib/flows/agent_answers.cc
+++ b/lib/flows/agent_answers.cc
@@ -36,10 +36,14 @@
   const FlowKey flow = MakeFlowKey(options_.service, FlowIdOf(forward.message));
   Answer answer;
   answer.request_id = id;
+  // "Not run" of an idempotent request is no proof: another copy of it may have
+  // reached another agent.
+  if (outcome == Outcome::kNotRun && IsIdempotent(forward.message))
+    outcome = Outcome::kRefused;
   answer.outcome = outcome;
   answer.reason = reason;
   answer.binding = binding;
-  if (outcome == Outcome::kNotRun) {
+  if (outcome == Outcome::kNotRun || outcome == Outcome::kRefused) {
     ++stats_.refused;
     answer.retry_after_ms = RetryAfterMs(reason);
     Decide(Decision::kRequestRefused, id, flow, reason);
@@ -51,6 +55,14 @@
   SendAnswer(forward, std::move(answer));
 }
 
+bool AgentCoreImpl::IsIdempotent(const CallerMessage& message) const {
+  const auto* request = std::get_if<Request>(&message);
+  if (request == nullptr)
+    return false;
+  const KindConfig* kind = FindKind(request->kind);
+  return kind != nullptr && kind->idempotent;
+}
+
 void AgentCoreImpl::SendChunks(const Forward& forward,
                                const StoredAnswer& answer,
                                uint32_t first,
--- a/lib/flows/agent_core_impl.h
+++ b/lib/flows/agent_core_impl.h
@@ -166,6 +166,7 @@
                    Outcome outcome,
                    Reason reason,
                    absl::optional<Binding> binding = absl::nullopt);
+  bool IsIdempotent(const CallerMessage& message) const;
   void SendChunks(const Forward& forward,
                   const StoredAnswer& answer,
                   uint32_t first,
--- a/unittests/flows/agent_drain_test.cc
+++ b/unittests/flows/agent_drain_test.cc
@@ -30,7 +30,7 @@
     Request opening = MakeRequest(11, kPull);
     opening.flow_id = 2;
     OnlyForward(agent.Send(opening, 2));
-    ExpectOutcome(OnlyAnswer(agent.Send(opening)), Outcome::kNotRun,
+    ExpectOutcome(OnlyAnswer(agent.Send(opening)), Outcome::kRefused,
                   Reason::kDraining);
     // A report may be bound elsewhere by another copy.
     Request report = MakeRequest(12, kReport);
@@ -204,7 +204,7 @@
       shed.shed_unrun = true;
       const RunId run = OnlyStart(agent.Send(MakeRequest(id, kPull))).run;
       ExpectOutcome(OnlyAnswer(agent.core().OnRunEnded(agent.now(), run, shed)),
-                    Outcome::kNotRun, Reason::kOverloaded);
+                    Outcome::kRefused, Reason::kOverloaded);
     }
     CPPUNIT_ASSERT(agent.core().state() == InstanceState::kServing);
   }
--- a/unittests/flows/agent_hunting_test.cc
+++ b/unittests/flows/agent_hunting_test.cc
@@ -51,7 +51,7 @@
     agent.core().OnDrainOrder(agent.now(), true);
     OnlyForward(agent.Send(Passed(agent, 5000)));
     Forward nowhere = Passed(agent, kLoadFull);
-    ExpectOutcome(OnlyAnswer(agent.Send(nowhere)), Outcome::kNotRun,
+    ExpectOutcome(OnlyAnswer(agent.Send(nowhere)), Outcome::kRefused,
                   Reason::kDraining);
   }
 
@@ -93,7 +93,7 @@
     Request request = New(10);
     request.opening = false;
     OnlyForward(agent.Send(request, 2));
-    ExpectOutcome(OnlyAnswer(agent.Send(request, 1)), Outcome::kNotRun,
+    ExpectOutcome(OnlyAnswer(agent.Send(request, 1)), Outcome::kRefused,
                   Reason::kFlowUnknown);
     // A flow that is known here stays.
     agent.Bind(request.flow_id);
@@ -108,7 +108,7 @@
       agent.Bind(flow);
     Request request = New(20);
     request.flow_id = 20;
-    ExpectOutcome(OnlyAnswer(agent.Send(request)), Outcome::kNotRun,
+    ExpectOutcome(OnlyAnswer(agent.Send(request)), Outcome::kRefused,
                   Reason::kFlowLimit);
     // Bindings that were never used hold their place for a short time only.
     agent.Advance(kUnusedFlowIdleLimit);
--- a/unittests/flows/generator_world.cc
+++ b/unittests/flows/generator_world.cc
@@ -168,8 +168,10 @@
     return;
   }
   call.settled = true;
-  if (answer.outcome == Outcome::kNotRun)
+  if (answer.outcome == Outcome::kNotRun ||
+      answer.outcome == Outcome::kRefused) {
     flow_bindings_.erase(flow);
+  }
   if (answer.outcome != Outcome::kOk)
     return;
   CallerMessage next;
@@ -273,7 +275,7 @@
   ++call.runs;
   if (!call.idempotent && call.runs > 1)
     Fail("ran twice", id);
-  if (!call.idempotent && call.refused)
+  if (call.refused)
     Fail("ran after it was refused as not run", id);
   const uint64_t generation = agents_[index].generation;
   At(DrawMs(10, 1'500),
@@ -315,7 +317,7 @@
   if (answer.outcome == Outcome::kNotRun) {
     ++counts_.refused;
     call.refused = true;
-    if (!call.idempotent && call.runs > 0)
+    if (call.runs > 0)
       Fail("refused as not run after it ran", id);
   }
   counts_.unknown += answer.outcome == Outcome::kOutcomeUnknown ? 1 : 0;
