--- a/standins/caller/load_worker.cc
+++ b/standins/caller/load_worker.cc
@@ -112,11 +112,11 @@
   while (!timers_.empty() && timers_.top().at <= now) {
     Timer timer = timers_.top();
     timers_.pop();
-    Fire(now, std::move(timer));
+    Fire(now, timer);
   }
 }
 
-void LoadWorker::Fire(absl::Time now, Timer timer) {
+void LoadWorker::Fire(absl::Time now, const Timer& timer) {
   Slot& slot = slots_[timer.slot];
   switch (timer.kind) {
     case TimerKind::kIssue:
--- a/standins/caller/load_worker.h
+++ b/standins/caller/load_worker.h
@@ -68,7 +68,7 @@
   void EndFlow(uint32_t index, bool open_next);
   void ScheduleFirst(absl::Time now);
   void FireTimers(absl::Time now);
-  void Fire(absl::Time now, Timer timer);
+  void Fire(absl::Time now, const Timer& timer);
   void IssueDue(absl::Time now, uint32_t slot, absl::Time due);
   bool PickSlot(uint32_t* slot);
   void Issue(absl::Time now, const Work& work);
