--- /dev/null
+++ b/include/skylarkshunt/process/directory.h
@@ -0,0 +1,30 @@
+#ifndef SKYLARKSHUNT_PROCESS_DIRECTORY_H_
+#define SKYLARKSHUNT_PROCESS_DIRECTORY_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "absl/types/span.h"
+#include "skylarkshunt/base/endpoint.h"
+#include "skylarkshunt/base/error.h"
+
+namespace skylarkshunt {
+
+/// Most entries in a directory object.
+inline constexpr size_t kMaxDirectoryEntries = 64;
+
+/// Returns the key of the directory object of `region`. Thread-safe.
+std::string DirectoryKey(absl::string_view region);
+
+/// Reads the body of a directory object, {"entries":["ip:port",...]}: control
+/// end points of entries. Errors: kMalformedMessage. Thread-safe.
+Result<std::vector<Endpoint>> ParseDirectory(absl::string_view body);
+
+/// Writes the body of a directory object; entries beyond kMaxDirectoryEntries
+/// are left out. Thread-safe.
+std::string WriteDirectoryBody(absl::Span<const Endpoint> entries);
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_PROCESS_DIRECTORY_H_
