--- a/include/skylarkshunt/base/event.h
+++ b/include/skylarkshunt/base/event.h
@@ -32,6 +32,13 @@
   LogLine& Field(absl::string_view key, const absl::AlphaNum& value) {
     return Field(key, value.Piece());
   }
+  // Text converts to both types above alike.
+  LogLine& Field(absl::string_view key, const std::string& value) {
+    return Field(key, absl::string_view(value));
+  }
+  LogLine& Field(absl::string_view key, const char* value) {
+    return Field(key, absl::string_view(value));
+  }
 
  private:
   Severity severity_;
--- /dev/null
+++ b/lib/agent/control_loop.cc
@@ -0,0 +1,198 @@
+#include "control_loop.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "skylarkshunt/base/event.h"
+#include "skylarkshunt/process/control_notice.h"
+#include "skylarkshunt/process/directory.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr EventId kServiceUnreadable{5101, "service_record_unreadable"};
+constexpr EventId kServiceAdopted{5102, "service_record_adopted"};
+constexpr EventId kDirectoryUnavailable{6101, "directory_unavailable"};
+constexpr EventId kDirectoryRead{6102, "directory_read"};
+
+/// First and longest wait between two reads of the directory.
+constexpr absl::Duration kFirstRead = absl::Milliseconds(250);
+constexpr absl::Duration kLongestRead = absl::Seconds(10);
+
+}  // namespace
+
+AgentControlLoop::AgentControlLoop(Parts parts)
+    : parts_(std::move(parts)),
+      calls_(parts_.counters.Find("skylarkshunt_platform_calls_total",
+                                  "Calls of the platform's object API.")),
+      backoff_(kFirstRead, kLongestRead, parts_.random_seed) {
+  orders_.incarnation = parts_.control->self().incarnation;
+}
+
+AgentControlLoop::~AgentControlLoop() {
+  if (!thread_.joinable())
+    return;
+  stop_.store(true);
+  parts_.wakeup.Notify();
+  thread_.join();
+}
+
+void AgentControlLoop::Start() {
+  PublishStatus();
+  thread_ = std::thread([this] { Run(); });
+}
+
+void AgentControlLoop::BeginShutdown() {
+  shutdown_.store(true);
+  parts_.wakeup.Notify();
+}
+
+void AgentControlLoop::Run() {
+  while (!stop_.load())
+    Step();
+}
+
+void AgentControlLoop::Step() {
+  const absl::Duration wait = next_tick_ - BootNow();
+  WaitReadable({parts_.wakeup.fd()},
+               std::clamp(wait, absl::ZeroDuration(), kControlTick));
+  parts_.wakeup.Drain();
+  const absl::Time now = BootNow();
+  // The report comes first: after a pause it has the new incarnation.
+  TakeReport();
+  if (now >= next_tick_) {
+    Execute(parts_.control->OnTick(now));
+    next_tick_ = now + kControlTick;
+  }
+  TakeTransportEvents();
+  if (shutdown_.load() && !orders_.shutdown) {
+    orders_.shutdown = true;
+    orders_changed_ = true;
+  }
+  if (std::exchange(orders_changed_, false))
+    parts_.data.Order(orders_);
+  ReadDirectoryWhenDue();
+  if (now >= next_status_)
+    PublishStatus();
+}
+
+void AgentControlLoop::TakeTransportEvents() {
+  for (size_t i = 0; i < kTransportRingSlots; ++i) {
+    const absl::optional<TransportEvent> event = parts_.transport.TryPop();
+    if (!event.has_value())
+      return;
+    if (const auto* failed = std::get_if<ControlLinkFailed>(&*event)) {
+      Execute(parts_.control->OnSendFailed(BootNow(), failed->peer));
+      continue;
+    }
+    const auto& received = std::get<ControlReceived>(*event);
+    Execute(parts_.control->OnMessage(BootNow(), received.peer,
+                                      received.message));
+  }
+}
+
+void AgentControlLoop::TakeReport() {
+  const absl::optional<AgentReport> report = parts_.data.TryPopReport();
+  if (!report.has_value())
+    return;
+  const AgentReport former = std::exchange(report_, *report);
+  const absl::Time now = BootNow();
+  const bool has_core = report_.incarnation != Incarnation{};
+  if (has_core && (report_.state != former.state ||
+                   report_.incarnation != former.incarnation)) {
+    Execute(parts_.control->OnStateChanged(now, report_.state,
+                                           report_.incarnation));
+  }
+  if (report_.applied != former.applied)
+    Execute(parts_.control->OnApplied(now, report_.applied));
+  const bool healthy = !orders_.shutdown && !report_.shutdown_complete &&
+                       report_.state < InstanceState::kDraining;
+  parts_.board.SetHealthy(healthy);
+  if (report_.shutdown_complete)
+    ended_.store(true);
+}
+
+void AgentControlLoop::Execute(AgentControlActions actions) {
+  for (const AgentControlAction& action : actions)
+    Execute(action);
+}
+
+void AgentControlLoop::Execute(const AgentControlAction& action) {
+  if (const auto* send = std::get_if<SendControl>(&action)) {
+    parts_.transport.Send(send->peer, send->message);
+  } else if (const auto* service = std::get_if<ServiceChanged>(&action)) {
+    OnServiceChanged(service->record);
+  } else if (const auto* order = std::get_if<DrainOrder>(&action)) {
+    orders_.drain = order->drain;
+    orders_changed_ = true;
+  } else if (const auto* next = std::get_if<NewIncarnation>(&action)) {
+    orders_.incarnation = std::max(orders_.incarnation, next->incarnation);
+    orders_changed_ = true;
+  } else if (std::holds_alternative<NeedDirectory>(action)) {
+    need_directory_ = true;
+  } else if (const auto* notice = std::get_if<ControlNotice>(&action)) {
+    LogControlNotice(*notice);
+  }
+}
+
+void AgentControlLoop::OnServiceChanged(const ConfigRecord& record) {
+  ServiceOrder service;
+  service.revision = record.revision;
+  service.deleted = record.deleted;
+  if (!record.deleted) {
+    Result<ServiceConfig> config = ParseServiceConfig(record.body);
+    if (!config.has_value()) {
+      LogLine(kServiceUnreadable, Severity::kError)
+          .Field("key", record.key)
+          .Field("revision", ToNumber(record.revision))
+          .Field("error", config.error().ToString());
+      return;
+    }
+    service.config = std::move(config).value();
+  }
+  LogLine(kServiceAdopted)
+      .Field("key", record.key)
+      .Field("revision", ToNumber(record.revision))
+      .Field("deleted", record.deleted ? "true" : "false");
+  orders_.service = std::move(service);
+  orders_.incarnation =
+      std::max(orders_.incarnation, parts_.control->self().incarnation);
+  orders_changed_ = true;
+}
+
+void AgentControlLoop::ReadDirectoryWhenDue() {
+  const absl::Time now = BootNow();
+  if (!need_directory_ || now < next_read_)
+    return;
+  need_directory_ = false;
+  next_read_ = now + backoff_.OnFailure();
+  calls_.Increment();
+  const Result<ConfigRecord> record = parts_.platform->Read(
+      DirectoryKey(parts_.control->self().region));
+  Result<std::vector<Endpoint>> entries =
+      record.has_value() ? ParseDirectory(record.value().body)
+                         : Result<std::vector<Endpoint>>(record.error());
+  if (!entries.has_value()) {
+    if (std::exchange(reachable_, false)) {
+      LogLine(kDirectoryUnavailable, Severity::kWarning)
+          .Field("error", entries.error().ToString());
+    }
+    return;
+  }
+  reachable_ = true;
+  if (!entries.value().empty())
+    backoff_.OnSuccess();
+  LogLine(kDirectoryRead).Field("entries", entries.value().size());
+  Execute(parts_.control->OnDirectory(BootNow(), entries.value()));
+}
+
+void AgentControlLoop::PublishStatus() {
+  AgentStatus status;
+  status.self = parts_.control->self();
+  status.service_name = parts_.service_name;
+  status.stats = report_.stats;
+  parts_.board.Publish(std::move(status));
+  next_status_ = BootNow() + kAgentStatusInterval;
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/lib/agent/control_loop.h
@@ -0,0 +1,81 @@
+#ifndef SKYLARKSHUNT_LIB_AGENT_CONTROL_LOOP_H_
+#define SKYLARKSHUNT_LIB_AGENT_CONTROL_LOOP_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "absl/time/time.h"
+#include "data_loop.h"
+#include "skylarkshunt/admin/status_board.h"
+#include "skylarkshunt/base/counters.h"
+#include "skylarkshunt/control/agent_control.h"
+#include "skylarkshunt/net/poller.h"
+#include "skylarkshunt/platform/platform_client.h"
+#include "skylarkshunt/process/backoff.h"
+#include "skylarkshunt/transport/control_transport.h"
+
+namespace skylarkshunt {
+
+/// Time between two publications of the status.
+inline constexpr absl::Duration kAgentStatusInterval = absl::Milliseconds(250);
+
+/// The control thread of an agent: heartbeats and configuration. While no relay
+/// is known it reads the platform's directory, and only then waits for it. The
+/// parts it is given must outlive it.
+class AgentControlLoop {
+ public:
+  struct Parts {
+    std::unique_ptr<AgentControl> control;
+    std::unique_ptr<PlatformClient> platform;
+    std::string service_name;
+    uint64_t random_seed = 1;
+    ControlTransport& transport;
+    AgentDataLoop& data;
+    StatusBoard& board;
+    CounterRegistry& counters;
+    /// Notified by the transport and the data loop.
+    Wakeup& wakeup;
+  };
+
+  explicit AgentControlLoop(Parts parts);
+  ~AgentControlLoop();
+
+  void Start();
+  /// Begins the drain before the end. Thread-safe.
+  void BeginShutdown();
+  /// Whether the drain is complete and announced. Thread-safe.
+  bool ended() const { return ended_.load(); }
+
+ private:
+  void Run();
+  void Step();
+  void TakeTransportEvents();
+  void TakeReport();
+  void Execute(AgentControlActions actions);
+  void Execute(const AgentControlAction& action);
+  void OnServiceChanged(const ConfigRecord& record);
+  void ReadDirectoryWhenDue();
+  void PublishStatus();
+
+  Parts parts_;
+  Counter& calls_;
+  Backoff backoff_;
+  AgentOrders orders_;
+  AgentReport report_;
+  bool orders_changed_ = false;
+  bool need_directory_ = false;
+  bool reachable_ = true;
+  absl::Time next_tick_ = absl::InfinitePast();
+  absl::Time next_read_ = absl::InfinitePast();
+  absl::Time next_status_ = absl::InfinitePast();
+  std::atomic<bool> shutdown_{false};
+  std::atomic<bool> ended_{false};
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_LIB_AGENT_CONTROL_LOOP_H_
--- /dev/null
+++ b/lib/agent/target_call.h
@@ -0,0 +1,32 @@
+#ifndef SKYLARKSHUNT_LIB_AGENT_TARGET_CALL_H_
+#define SKYLARKSHUNT_LIB_AGENT_TARGET_CALL_H_
+
+#include <functional>
+
+#include "absl/time/time.h"
+#include "skylarkshunt/base/endpoint.h"
+#include "skylarkshunt/flows/agent_core.h"
+
+namespace skylarkshunt {
+
+/// Longest answer of a target, in bytes. A longer one counts as a failure of
+/// the target after it ran.
+inline constexpr size_t kMaxTargetAnswerBytes = 4 * 1024 * 1024;
+/// Longest wait for the connection to the target beside the agent.
+inline constexpr absl::Duration kTargetConnectTimeout = absl::Seconds(1);
+/// Longest wait for the target's health end point.
+inline constexpr absl::Duration kHealthTimeout = absl::Seconds(1);
+
+/// Sends the request of `run` to the target and waits for its answer until the
+/// run's deadline. `on_socket` gets the socket before it connects and may keep
+/// a duplicate of it to end the call early. Thread-safe.
+RunResult CallTarget(Endpoint target,
+                     const StartRun& run,
+                     const std::function<void(int socket)>& on_socket);
+
+/// Returns whether GET /health of the target answers 200. Thread-safe.
+bool TargetSaysHealthy(Endpoint target);
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_LIB_AGENT_TARGET_CALL_H_
--- /dev/null
+++ b/tools/skylarkshuntd/options.h
@@ -0,0 +1,40 @@
+#ifndef SKYLARKSHUNT_TOOLS_SKYLARKSHUNTD_OPTIONS_H_
+#define SKYLARKSHUNT_TOOLS_SKYLARKSHUNTD_OPTIONS_H_
+
+#include <string>
+
+#include "skylarkshunt/base/error.h"
+
+namespace skylarkshunt {
+
+/// Exit codes of skylarkshuntd.
+inline constexpr int kExitOk = 0;
+/// The command line is wrong.
+inline constexpr int kExitUsage = 2;
+/// The settings file is missing or wrong.
+inline constexpr int kExitSettings = 3;
+/// An address of the settings is taken by another process.
+inline constexpr int kExitAddressInUse = 4;
+/// A socket, thread or file descriptor could not be made.
+inline constexpr int kExitSystem = 5;
+/// A second SIGTERM ended the process before its drain was complete.
+inline constexpr int kExitForced = 6;
+
+/// What the command line asks for.
+struct CommandLine {
+  enum class Action { kRun, kCheck, kVersion, kHelp };
+  Action action = Action::kRun;
+  std::string settings;
+  /// Text for kHelp.
+  std::string help;
+};
+
+/// Reads the command line. Errors: kInvalidArgument.
+Result<CommandLine> ParseCommandLine(int argc, const char* const* argv);
+
+/// Returns the exit code of a failed start.
+int ExitCodeOf(const Error& error);
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_TOOLS_SKYLARKSHUNTD_OPTIONS_H_
