--- a/include/skylarkshunt/control/messages.h
+++ b/include/skylarkshunt/control/messages.h
@@ -28,7 +28,11 @@
 /// Relay entry to agent.
 struct HeartbeatAck {
   Incarnation sender{};
-  /// What the relay knows of the agent; a kDown state must be refuted.
+  /// Sequence of the heartbeat that is answered, so that the agent can tell
+  /// answers to an earlier uid or incarnation of its own.
+  uint64_t answered_sequence = 0;
+  /// What the relay knew of the agent before this heartbeat, 0 if nothing; a
+  /// kDown state must be refuted.
   Incarnation known_incarnation{};
   uint64_t known_sequence = 0;
   InstanceState known_state = InstanceState::kServing;
@@ -67,6 +71,9 @@
 };
 struct ProbeReply {
   Incarnation sender{};
+  /// Who answers, so that repeated answers count once; equal to `subject` when
+  /// an entry answers for itself.
+  InstanceUid relay{};
   InstanceUid subject{};
   bool heard = false;
 };
@@ -79,7 +86,7 @@
                                     ProbeReply>;
 
 /// Largest control message, in bytes; larger exchanges go in several rounds.
-inline constexpr size_t kMaxControlMessageBytes = 256 * 1024;
+inline constexpr size_t kMaxControlMessageBytes = size_t{256} * 1024;
 
 }  // namespace skylarkshunt
 
--- /dev/null
+++ b/lib/control/agent_links.h
@@ -0,0 +1,46 @@
+#ifndef SKYLARKSHUNT_LIB_CONTROL_AGENT_LINKS_H_
+#define SKYLARKSHUNT_LIB_CONTROL_AGENT_LINKS_H_
+
+#include "absl/container/flat_hash_map.h"
+#include "entry_state.h"
+#include "skylarkshunt/control/entry_control.h"
+
+namespace skylarkshunt {
+
+/// What a relay remembers of the links of its agents, and its answers to
+/// heartbeats. Not thread-safe.
+class AgentLinks {
+ public:
+  explicit AgentLinks(EntryState& state) : state_(state) {}
+
+  /// Returns the answer. `known` is what the relay knew of the agent before
+  /// the heartbeat was merged, or a default record.
+  HeartbeatAck Answer(absl::Time now,
+                      ConnectionId connection,
+                      const Heartbeat& heartbeat,
+                      const InstanceRecord& known);
+  void DropIdle(absl::Time now);
+  size_t size() const { return links_.size(); }
+
+ private:
+  struct Link {
+    /// The uid in the last heartbeat; it changes when the agent learns it.
+    InstanceUid agent{};
+    absl::Time heard = absl::InfinitePast();
+    absl::Time listed = absl::InfinitePast();
+    Revision drain{};
+  };
+
+  void AddConfig(const Heartbeat& heartbeat,
+                 bool repeat_drain,
+                 Link& link,
+                 HeartbeatAck& ack) const;
+  void AddEntries(const InstanceRecord& agent, HeartbeatAck& ack);
+
+  EntryState& state_;
+  absl::flat_hash_map<ConnectionId, Link> links_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_LIB_CONTROL_AGENT_LINKS_H_
--- /dev/null
+++ b/lib/control/gossip.h
@@ -0,0 +1,83 @@
+#ifndef SKYLARKSHUNT_LIB_CONTROL_GOSSIP_H_
+#define SKYLARKSHUNT_LIB_CONTROL_GOSSIP_H_
+
+#include <array>
+#include <deque>
+#include <random>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "entry_state.h"
+#include "recent_changes.h"
+#include "skylarkshunt/control/entry_control.h"
+
+namespace skylarkshunt {
+
+/// Whom an entry pushes to, and what pushes and replies contain. Merging what
+/// arrives is the caller's part. Not thread-safe.
+class Gossip {
+ public:
+  Gossip(EntryState& state, uint64_t random_seed);
+
+  RecentChanges& recent() { return recent_; }
+
+  /// Adds control end points that may be entries.
+  void AddContacts(absl::Span<const Endpoint> contacts);
+
+  /// Appends the push that is due, if any.
+  void Tick(absl::Time now, EntryControlActions& actions);
+
+  /// Returns the answer to `push`, whose records are merged already.
+  GossipReply MakeReply(absl::Time now, const GossipPush& push);
+  /// Plans the transfer that `reply`, already merged, asks for.
+  void OnReply(absl::Time now, const GossipReply& reply);
+  void OnSendFailed(absl::Time now, Endpoint peer);
+
+ private:
+  /// Records that go to `peer` with the next push to it.
+  struct Transfer {
+    InstanceUid peer{};
+    std::vector<InstanceUid> instances;
+    std::vector<std::string> keys;
+  };
+  /// How a bucket compares with those of the peers.
+  struct BucketView {
+    uint64_t hash = 0;
+    absl::Time changed = absl::InfinitePast();
+    absl::Time differs_since = absl::InfiniteFuture();
+  };
+
+  uint64_t HashOf(size_t bucket) const;
+  std::vector<uint64_t> Digest() const;
+  BucketMask Compare(absl::Time now, absl::Span<const uint64_t> digest);
+  BucketMask DueBuckets(absl::Time now,
+                        BucketMask differing,
+                        absl::Span<const uint64_t> digest);
+  void AddBuckets(absl::Time now, BucketMask due, GossipReply& reply);
+
+  absl::optional<Endpoint> NextPeer(absl::Time now);
+  absl::optional<Endpoint> RandomLivePeer(absl::Time now);
+  absl::optional<Endpoint> RandomContact(absl::Time now);
+  bool IsPassedOver(absl::Time now, Endpoint peer);
+  void ExpireUnanswered(absl::Time now);
+  GossipPush MakePush(Endpoint peer);
+  void AddTransfer(Endpoint peer, GossipPush& push);
+  size_t Draw(size_t limit) { return random_() % limit; }
+
+  EntryState& state_;
+  RecentChanges recent_;
+  std::mt19937_64 random_;
+  std::vector<Endpoint> contacts_;
+  std::array<BucketView, kBuckets> buckets_;
+  std::deque<Transfer> transfers_;
+  /// Pushes without an answer yet, by peer; at most one per gossip interval
+  /// within the waiting time.
+  absl::flat_hash_map<Endpoint, absl::Time> unanswered_;
+  absl::flat_hash_map<Endpoint, absl::Time> passed_over_until_;
+  absl::Time next_push_ = absl::InfinitePast();
+  uint64_t pushes_ = 0;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_LIB_CONTROL_GOSSIP_H_
--- /dev/null
+++ b/lib/control/recent_changes.h
@@ -0,0 +1,62 @@
+#ifndef SKYLARKSHUNT_LIB_CONTROL_RECENT_CHANGES_H_
+#define SKYLARKSHUNT_LIB_CONTROL_RECENT_CHANGES_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "entry_state.h"
+#include "skylarkshunt/control/messages.h"
+
+namespace skylarkshunt {
+
+/// Upper bounds of the encoded sizes, in bytes.
+size_t EncodedBound(const InstanceRecord& record);
+size_t EncodedBound(const ConfigRecord& record);
+
+/// Changes that are still to be sent a number of times. Holds up to
+/// kMaxRecentChanges; a change beyond them is left to the digest. Not
+/// thread-safe.
+class RecentChanges {
+ public:
+  /// Whether routing needs the change.
+  enum class Urgency { kRouting, kProgress };
+
+  void AddInstance(InstanceUid uid, Urgency urgency, size_t peers);
+  void AddConfig(const std::string& key, size_t peers);
+  /// A peer sent what is held here. Progress is then sent once less, because
+  /// the others evidently know it.
+  void OnSeenAgain(InstanceUid uid);
+
+  /// Adds changes that lie in `buckets` to the lists and counts them as sent:
+  /// routing before progress, and those sent least before the others.
+  void Take(const EntryState& state,
+            BucketMask buckets,
+            std::vector<InstanceRecord>& instances,
+            std::vector<ConfigRecord>& config);
+
+  size_t size() const { return instances_.size() + config_.size(); }
+
+ private:
+  struct Pending {
+    Urgency urgency = Urgency::kRouting;
+    size_t sends_left = 0;
+  };
+  /// One change considered for a message; `key` is null for an instance.
+  struct Candidate {
+    Pending* pending;
+    InstanceUid uid;
+    const std::string* key;
+  };
+
+  static size_t SendsFor(Urgency urgency, size_t peers);
+  std::vector<Candidate> Candidates(BucketMask buckets);
+  void DropFinished();
+
+  absl::flat_hash_map<InstanceUid, Pending> instances_;
+  absl::flat_hash_map<std::string, Pending> config_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_LIB_CONTROL_RECENT_CHANGES_H_
--- /dev/null
+++ b/lib/control/relay_links.h
@@ -0,0 +1,64 @@
+#ifndef SKYLARKSHUNT_LIB_CONTROL_RELAY_LINKS_H_
+#define SKYLARKSHUNT_LIB_CONTROL_RELAY_LINKS_H_
+
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "absl/types/span.h"
+#include "skylarkshunt/membership/instance_record.h"
+
+namespace skylarkshunt {
+
+/// The entries that an agent knows, and those to which it keeps links. Not
+/// thread-safe.
+class RelayLinks {
+ public:
+  struct Link {
+    Endpoint relay;
+    absl::Time opened;
+    absl::Time last_ack = absl::InfinitePast();
+    absl::Time next_heartbeat = absl::InfinitePast();
+    /// Heartbeats sent since the last acknowledgement.
+    uint64_t unanswered = 0;
+  };
+
+  /// Adds control end points that may be entries of any region.
+  void AddContacts(absl::Span<const Endpoint> contacts);
+  /// A relay listed `entries`.
+  void OnEntries(absl::Time now,
+                 absl::string_view region,
+                 absl::Span<const InstanceRecord> entries);
+  void OnAck(absl::Time now, Endpoint relay);
+  void OnFailed(absl::Time now, Endpoint relay);
+
+  /// Replaces relays that do not answer and opens up to `count` links in
+  /// rendezvous order of `key`. Without known entries it opens one to a
+  /// contact. After a pause of the process the waiting times start again.
+  void Update(absl::Time now, uint64_t key, size_t count);
+  void OnPause(absl::Time now);
+
+  std::vector<Link>& links() { return links_; }
+
+ private:
+  struct Known {
+    InstanceRecord record;
+    absl::Time listed;
+  };
+
+  bool IsPassedOver(absl::Time now, Endpoint relay) const;
+  void FailSilentLinks(absl::Time now);
+  std::vector<Endpoint> Choose(absl::Time now, uint64_t key, size_t count);
+  absl::optional<Endpoint> ChooseContact(absl::Time now);
+
+  std::vector<Endpoint> contacts_;
+  absl::flat_hash_map<InstanceUid, Known> known_;
+  absl::flat_hash_map<Endpoint, absl::Time> passed_over_until_;
+  std::vector<Link> links_;
+  size_t next_contact_ = 0;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_LIB_CONTROL_RELAY_LINKS_H_
--- /dev/null
+++ b/unittests/control/fleet.h
@@ -0,0 +1,148 @@
+#ifndef SKYLARKSHUNT_UNITTESTS_CONTROL_FLEET_H_
+#define SKYLARKSHUNT_UNITTESTS_CONTROL_FLEET_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "skylarkshunt/control/agent_control.h"
+#include "skylarkshunt/control/entry_control.h"
+
+namespace skylarkshunt {
+
+/// Entries and agents in one process, joined by a list of messages in simulated
+/// time. A node is an index; entries come first.
+class Fleet {
+ public:
+  struct Options {
+    size_t entries = 0;
+    size_t agents = 0;
+    size_t services = 1;
+    size_t regions = 1;
+    uint64_t seed = 1;
+    double drop = 0;
+    double duplicate = 0;
+    absl::Duration max_delay = absl::Milliseconds(5);
+    /// Entry uids of which the first are seeds of everybody.
+    size_t seeds = 3;
+  };
+  struct Node {
+    InstanceRecord self;
+    std::string service_name;
+    std::unique_ptr<EntryControl> entry;
+    std::unique_ptr<AgentControl> agent;
+    /// Counts the lives of the node; links of earlier ones are dead.
+    uint64_t life = 0;
+    bool paused = false;
+    bool watching = false;
+    bool list_due = false;
+    Revision watched{};
+    /// The newest revision of each key that this life has put into force.
+    std::map<std::string, Revision> applied;
+    absl::optional<bool> drained;
+    size_t directory_writes = 0;
+    size_t new_incarnations = 0;
+  };
+  /// Called for each message handed to the network.
+  using Observer =
+      std::function<void(size_t from, size_t to, const ControlMessage&)>;
+
+  explicit Fleet(Options options);
+
+  absl::Time now() const { return now_; }
+  std::vector<Node>& nodes() { return nodes_; }
+  size_t entries() const { return options_.entries; }
+  size_t AgentAt(size_t index) const { return options_.entries + index; }
+
+  void RunFor(absl::Duration duration);
+  /// Returns how long it took until `done`, at most `limit`.
+  absl::Duration RunUntil(const std::function<bool()>& done,
+                          absl::Duration limit);
+
+  void Start(size_t node);
+  void Kill(size_t node);
+  void Pause(size_t node) { nodes_[node].paused = true; }
+  void Resume(size_t node);
+  /// Drops what `from` sends to `to`, without an error to the sender.
+  void Cut(size_t from, size_t to) { cuts_.insert({from, to}); }
+  void Mend() { cuts_.clear(); }
+  void CutRegions(bool cut) { regions_cut_ = cut; }
+
+  /// The platform's objects. Watching entries read them at their ticks.
+  Revision Put(const std::string& key, const std::string& body);
+  Revision Remove(const std::string& key);
+  void SetPlatformUp(bool up) { platform_up_ = up; }
+  /// Hands `actions` of `node` to the network and the fake drivers.
+  void Perform(size_t node, EntryControlActions actions);
+
+  /// Whether every live entry (of `region`, if not empty) satisfies `check`.
+  bool AllEntries(const std::function<bool(const EntryControl&)>& check,
+                  const std::string& region = "") const;
+  /// Whether every live entry holds `uid` in `state`.
+  bool AllSee(InstanceUid uid, InstanceState state) const;
+  bool AllHold(const std::string& key, Revision revision) const;
+  size_t Watching() const;
+  /// Times that a node put an older revision into force than before.
+  size_t reversions() const { return reversions_; }
+
+  Observer observer;
+
+ private:
+  struct Event {
+    absl::Time at;
+    uint64_t order = 0;
+    size_t from = 0;
+    size_t to = 0;
+    uint64_t from_life = 0;
+    uint64_t to_life = 0;
+    /// Tick, failure report, request or answer.
+    enum class Kind { kTick, kFailed, kRequest, kAnswer } kind = Kind::kTick;
+    std::shared_ptr<const ControlMessage> message;
+  };
+  struct Later {
+    bool operator()(const Event& a, const Event& b) const {
+      return a.at != b.at ? a.at > b.at : a.order > b.order;
+    }
+  };
+
+  void Push(Event event, absl::Duration delay);
+  void Send(size_t from, size_t to, Event::Kind kind, ControlMessage message);
+  void SendTo(size_t from, Endpoint peer, ControlMessage message);
+  void Handle(const Event& event);
+  void HandleTick(size_t node);
+  void ReadPlatform(size_t node);
+  void PerformAgent(size_t node, AgentControlActions actions);
+  void NoteApplied(size_t node, const ConfigRecord& record);
+  absl::Duration Delay();
+  bool IsCut(size_t from, size_t to) const;
+  uint64_t ConnectionOf(size_t from) const;
+
+  const Options options_;
+  std::mt19937_64 random_;
+  absl::Time now_ = absl::FromUnixSeconds(1000000);
+  uint64_t order_ = 0;
+  std::vector<Node> nodes_;
+  std::priority_queue<Event, std::vector<Event>, Later> events_;
+  std::vector<std::vector<Event>> held_;
+  std::map<std::pair<uint32_t, uint16_t>, size_t> by_control_;
+  std::set<std::pair<size_t, size_t>> cuts_;
+  bool regions_cut_ = false;
+  bool platform_up_ = true;
+  Revision revision_{};
+  std::map<std::string, ConfigRecord> objects_;
+  size_t reversions_ = 0;
+};
+
+/// The key and a body of service number `index`.
+std::string ServiceKey(size_t index);
+std::string ServiceBody(size_t index, uint64_t uid, const std::string& apply);
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_UNITTESTS_CONTROL_FLEET_H_
