--- a/include/skylarkshunt/edge/messages.h
+++ b/include/skylarkshunt/edge/messages.h
@@ -13,12 +13,18 @@
 
 /// How a request ended, as told to the caller.
 enum class Outcome : uint8_t {
-  kOk = 0,              ///< Ran; the answer is complete or comes in chunks.
-  kNotRun = 1,          ///< Did not run and never will under this request id.
+  kOk = 0,  ///< Ran; the answer is complete or comes in chunks.
+  /// Did not run and never will under this request id. Said only of requests
+  /// for which that is proved: non-idempotent ones under a binding.
+  kNotRun = 1,
   kBind = 2,            ///< Did not run; repeat under the binding given.
   kOutcomeUnknown = 3,  ///< May or may not have run; do not repeat.
   kAnswerGone = 4,      ///< Ran; the answer is no longer held.
   kTargetError = 5,     ///< Ran and failed at the target.
+  /// An idempotent request was not taken here. Another copy of it may have
+  /// reached another target, so this is no proof that it did not run; it may be
+  /// repeated.
+  kRefused = 6,
 };
 
 /// Why a request was not answered with kOk.
@@ -99,10 +105,8 @@
   Reason reason = Reason::kNone;
   /// HTTP status of the target, 0 where no target answered.
   uint16_t status = 0;
-  /// kOk and kBind: the flow's binding from now on. Otherwise: the binding that
-  /// the refused copy of the request carried. Once a caller has taken a binding
-  /// for a request it ignores refusals of copies without that binding, because
-  /// the bound copy may run.
+  /// The flow's binding from now on, where it is new or renewed; with kBind the
+  /// one to repeat the request under, which may be a refusal binding.
   absl::optional<Binding> binding;
   /// When a repeat or a new request makes sense, in milliseconds; 0: any time.
   uint32_t retry_after_ms = 0;
@@ -114,6 +118,19 @@
   std::string body;
 };
 
+/// Value of Binding::issued_ms in a refusal binding.
+inline constexpr int64_t kRefusalIssuedMs = 0;
+
+/// Whether `binding` allows nothing anywhere. An unbound non-idempotent request
+/// is refused in two steps, because a plain "not run" could be false: another
+/// copy may have been bound at another agent. The refuser answers kBind with a
+/// refusal binding; the copy under it runs nowhere, so its refusal is true.
+/// A caller never uses such a binding for another request. Thread-safe.
+bool IsRefusalBinding(const Binding& binding);
+
+/// Returns a refusal binding of the instance `uid`. Thread-safe.
+Binding MakeRefusalBinding(InstanceUid uid, Incarnation incarnation);
+
 /// Largest datagram between caller and entry, in bytes; it fits the smallest
 /// common path MTU without fragments.
 inline constexpr size_t kMaxCallerDatagramBytes = 1200;
--- a/include/skylarkshunt/placement/router.h
+++ b/include/skylarkshunt/placement/router.h
@@ -91,8 +91,18 @@
     absl::Time at;
   };
 
+  struct Refusal {
+    Reason reason = Reason::kNone;
+    /// Whether the request is known to be idempotent.
+    bool idempotent = false;
+  };
+
   explicit Router(const Options& options);
 
+  RouteResult Refuse(Endpoint caller,
+                     const Request& request,
+                     FlowKey flow,
+                     Refusal refusal) const;
   RouteResult RouteRequest(absl::Time now, Endpoint caller, Request request);
   RouteResult RouteFollowUp(Endpoint caller, CallerMessage message);
   RouteResult NewRoute(const RoutedService& service,
--- a/lib/edge/messages.cc
+++ b/lib/edge/messages.cc
@@ -16,6 +16,8 @@
       return "answer_gone";
     case Outcome::kTargetError:
       return "target_error";
+    case Outcome::kRefused:
+      return "refused";
   }
   return "invalid";
 }
@@ -60,4 +62,12 @@
   return "invalid";
 }
 
+bool IsRefusalBinding(const Binding& binding) {
+  return binding.issued_ms == kRefusalIssuedMs;
+}
+
+Binding MakeRefusalBinding(InstanceUid uid, Incarnation incarnation) {
+  return Binding{uid, incarnation, kRefusalIssuedMs};
+}
+
 }  // namespace skylarkshunt
--- a/lib/flows/bindings.cc
+++ b/lib/flows/bindings.cc
@@ -5,12 +5,6 @@
 #include "flows/agent_limits.h"
 
 namespace skylarkshunt {
-namespace {
-
-constexpr int64_t kRefusalIssuedMs = 0;
-
-}  // namespace
-
 int64_t ToIssuedMs(absl::Time time) {
   return absl::ToUnixMillis(time);
 }
@@ -19,10 +13,6 @@
   return now >= absl::FromUnixMillis(issued_ms) + kLedgerHorizon;
 }
 
-bool IsRefusalBinding(const Binding& binding) {
-  return binding.issued_ms == kRefusalIssuedMs;
-}
-
 Bindings::Bindings(InstanceUid uid, Incarnation incarnation)
     : uid_(uid), incarnation_(incarnation) {}
 
@@ -34,7 +24,7 @@
 }
 
 Binding Bindings::IssueRefusal() const {
-  return Binding{uid_, incarnation_, kRefusalIssuedMs};
+  return MakeRefusalBinding(uid_, incarnation_);
 }
 
 Bindings::State Bindings::Check(absl::Time now, const Binding& binding) const {
--- a/lib/flows/bindings.h
+++ b/lib/flows/bindings.h
@@ -6,6 +6,7 @@
 
 #include "absl/time/time.h"
 #include "skylarkshunt/base/ids.h"
+#include "skylarkshunt/edge/messages.h"
 
 namespace skylarkshunt {
 
@@ -16,12 +17,6 @@
 /// clock.
 bool IsExpired(absl::Time now, int64_t issued_ms);
 
-/// Whether `binding` allows nothing anywhere. Agents give such a binding to an
-/// unbound non-idempotent request that they refuse: a refusal of the unbound
-/// copy may be false, because another copy may have been bound elsewhere. The
-/// copy under this binding never runs, so its refusal is true at every agent.
-bool IsRefusalBinding(const Binding& binding);
-
 /// The bindings that one agent issues. Holds no binding, only what makes one
 /// invalid. Not thread-safe.
 class Bindings {
--- a/lib/placement/router.cc
+++ b/lib/placement/router.cc
@@ -23,28 +23,6 @@
   return std::get<RouteToAgent>(result.action).forward;
 }
 
-/// Answers an unbound request as not run, which is true: it can run only after
-/// an agent has taken it or bound its flow. A bound one may have run at its
-/// target, which this entry cannot ask, so it gets no answer here; the caller's
-/// repeat reaches the target through another entry.
-RouteResult Refuse(Endpoint caller,
-                   const Request& request,
-                   FlowKey flow,
-                   Reason reason) {
-  RouteResult result;
-  result.action = RouteNowhere{};
-  result.decision =
-      RouteDecision{RouteKind::kRefused, flow, request.request_id, {}, reason};
-  if (request.binding.has_value())
-    return result;
-  Answer answer;
-  answer.request_id = request.request_id;
-  answer.outcome = Outcome::kNotRun;
-  answer.reason = reason;
-  result.action = RouteToCaller{caller, std::move(answer)};
-  return result;
-}
-
 /// Ignores a message that this entry cannot judge yet.
 RouteResult Drop(RequestId request_id, Reason reason) {
   RouteResult result;
@@ -116,6 +94,36 @@
   snapshot_ = std::move(snapshot);
 }
 
+/// Answers a request that no target can take. A bound one may have run at its
+/// target, which this entry cannot ask, so it gets no answer here; the caller's
+/// repeat reaches the target through another entry.
+RouteResult Router::Refuse(Endpoint caller,
+                           const Request& request,
+                           FlowKey flow,
+                           Refusal refusal) const {
+  RouteResult result;
+  result.decision = RouteDecision{
+      RouteKind::kRefused, flow, request.request_id, {}, refusal.reason};
+  Answer answer;
+  answer.request_id = request.request_id;
+  answer.reason = refusal.reason;
+  const bool bound = request.binding.has_value();
+  if (bound && IsRefusalBinding(*request.binding)) {
+    answer.outcome = Outcome::kNotRun;
+  } else if (refusal.idempotent) {
+    answer.outcome = Outcome::kRefused;
+  } else if (bound) {
+    result.action = RouteNowhere{};
+    return result;
+  } else {
+    answer.outcome = Outcome::kBind;
+    answer.binding = MakeRefusalBinding(MakeEntryUid(options_.entry.ToString()),
+                                        options_.incarnation);
+  }
+  result.action = RouteToCaller{caller, std::move(answer)};
+  return result;
+}
+
 RouteResult Router::OnCallerMessage(absl::Time now,
                                     Endpoint caller,
                                     CallerMessage message) {
@@ -132,8 +140,12 @@
     return Drop(request.request_id, Reason::kNoTarget);
   const RoutedService* service = snapshot_->FindService(request.service);
   if (service == nullptr)
-    return Refuse(caller, request, FlowKey{}, Reason::kUnknownService);
+    return Refuse(caller, request, FlowKey{},
+                  {Reason::kUnknownService, /*idempotent=*/false});
   const FlowKey flow = MakeFlowKey(service->config.uid, request.flow_id);
+  const bool idempotent = IsIdempotent(*service, request);
+  if (request.binding.has_value() && IsRefusalBinding(*request.binding))
+    return Refuse(caller, request, flow, {Reason::kNoTarget, idempotent});
   RouteResult result =
       NewRoute(*service, flow, caller, CallerMessage(std::move(request)));
   Forward& forward = ForwardOf(result);
@@ -144,7 +156,7 @@
   }
   forward.candidates = service->table->Candidates(flow);
   if (forward.candidates.empty())
-    return Refuse(caller, sent, flow, Reason::kNoTarget);
+    return Refuse(caller, sent, flow, {Reason::kNoTarget, idempotent});
   if (sent.opening)
     OrderForOpening(now, *service, sent, forward);
   SendAlongList(sent.opening ? RouteKind::kOpening : RouteKind::kUnbound,
@@ -163,12 +175,13 @@
     return RouteBound(service, *target, result);
   // Only the bound target can tell whether a non-idempotent request ran.
   if (!IsIdempotent(service, request)) {
-    result = Refuse(forward.caller, request, flow, Reason::kWrongInstance);
+    result =
+        Refuse(forward.caller, request, flow, {Reason::kWrongInstance, false});
     return;
   }
   forward.candidates = service.table->Candidates(flow);
   if (forward.candidates.empty()) {
-    result = Refuse(forward.caller, request, flow, Reason::kNoTarget);
+    result = Refuse(forward.caller, request, flow, {Reason::kNoTarget, true});
     return;
   }
   SendAlongList(
