--- a/include/skylarkshunt/process/directory.h
+++ b/include/skylarkshunt/process/directory.h
@@ -11,9 +11,6 @@
 
 namespace skylarkshunt {
 
-/// Most entries in a directory object.
-inline constexpr size_t kMaxDirectoryEntries = 64;
-
 /// Returns the key of the directory object of `region`. Thread-safe.
 std::string DirectoryKey(absl::string_view region);
 
--- a/lib/agent/agent_process.cc
+++ b/lib/agent/agent_process.cc
@@ -4,6 +4,7 @@
 
 #include "control_loop.h"
 #include "data_loop.h"
+#include "directory_reader.h"
 #include "skylarkshunt/admin/admin_server.h"
 
 namespace skylarkshunt {
@@ -16,10 +17,7 @@
 
   Result<void> Open(const ProcessOptions& options) {
     BOOST_OUTCOME_TRY(OpenSockets(options));
-    PlatformClient::Options client;
-    client.platform = options.settings.platform;
-    client.timeout = options.settings.platform_timeout;
-    BOOST_OUTCOME_TRY(platform, PlatformClient::Create(client));
+    BOOST_OUTCOME_TRY(OpenPlatform(options));
     AgentControl::Options control;
     control.self = Self(options);
     control.service_name = options.settings.service;
@@ -27,8 +25,9 @@
     control.random_seed = options.random_seed;
     BOOST_OUTCOME_TRY(machine, AgentControl::Create(std::move(control)));
     control_ = std::make_unique<AgentControlLoop>(AgentControlLoop::Parts{
-        std::move(machine), std::move(platform), options.settings.service,
-        options.random_seed, *transport_, *data_, board_, counters_, wakeup_});
+        std::move(machine), options.settings.service, *transport_, *data_,
+        *directory_, board_, wakeup_});
+    directory_->Start();
     control_->Start();
     data_->Start();
     return Success();
@@ -73,6 +72,21 @@
     return Success();
   }
 
+  Result<void> OpenPlatform(const ProcessOptions& options) {
+    PlatformClient::Options client;
+    client.platform = options.settings.platform;
+    client.timeout = options.settings.platform_timeout;
+    BOOST_OUTCOME_TRY(platform, PlatformClient::Create(client));
+    DirectoryReader::Options reader;
+    reader.client = std::move(platform);
+    reader.region = options.settings.region;
+    reader.random_seed = options.random_seed;
+    reader.counters = &counters_;
+    reader.on_read = [this] { wakeup_.Notify(); };
+    directory_ = std::make_unique<DirectoryReader>(std::move(reader));
+    return Success();
+  }
+
   InstanceRecord Self(const ProcessOptions& options) const {
     InstanceRecord self;
     self.role = Role::kAgent;
@@ -92,6 +106,7 @@
   std::unique_ptr<AgentDataLoop> data_;
   std::unique_ptr<ControlTransport> transport_;
   std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<DirectoryReader> directory_;
   std::unique_ptr<AgentControlLoop> control_;
 };
 
--- a/lib/agent/control_loop.cc
+++ b/lib/agent/control_loop.cc
@@ -5,27 +5,17 @@
 
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/process/control_notice.h"
-#include "skylarkshunt/process/directory.h"
 
 namespace skylarkshunt {
 namespace {
 
 constexpr EventId kServiceUnreadable{5101, "service_record_unreadable"};
 constexpr EventId kServiceAdopted{5102, "service_record_adopted"};
-constexpr EventId kDirectoryUnavailable{6101, "directory_unavailable"};
-constexpr EventId kDirectoryRead{6102, "directory_read"};
-
-/// First and longest wait between two reads of the directory.
-constexpr absl::Duration kFirstRead = absl::Milliseconds(250);
-constexpr absl::Duration kLongestRead = absl::Seconds(10);
 
 }  // namespace
 
 AgentControlLoop::AgentControlLoop(Parts parts)
-    : parts_(std::move(parts)),
-      calls_(parts_.counters.Find("skylarkshunt_platform_calls_total",
-                                  "Calls of the platform's object API.")),
-      backoff_(kFirstRead, kLongestRead, parts_.random_seed) {
+    : parts_(std::move(parts)) {
   orders_.incarnation = parts_.control->self().incarnation;
 }
 
@@ -65,13 +55,14 @@
     next_tick_ = now + kControlTick;
   }
   TakeTransportEvents();
+  if (const auto entries = parts_.directory.TryPop())
+    Execute(parts_.control->OnDirectory(BootNow(), *entries));
   if (shutdown_.load() && !orders_.shutdown) {
     orders_.shutdown = true;
     orders_changed_ = true;
   }
   if (std::exchange(orders_changed_, false))
     parts_.data.Order(orders_);
-  ReadDirectoryWhenDue();
   if (now >= next_status_)
     PublishStatus();
 }
@@ -126,15 +117,26 @@
     orders_.drain = order->drain;
     orders_changed_ = true;
   } else if (const auto* next = std::get_if<NewIncarnation>(&action)) {
-    orders_.incarnation = std::max(orders_.incarnation, next->incarnation);
-    orders_changed_ = true;
+    OnNewIncarnation(next->incarnation);
   } else if (std::holds_alternative<NeedDirectory>(action)) {
-    need_directory_ = true;
+    parts_.directory.Request();
   } else if (const auto* notice = std::get_if<ControlNotice>(&action)) {
     LogControlNotice(*notice);
   }
 }
 
+/// The core takes the incarnation and reports it. Without a core, or when it
+/// has already taken a higher one, the answer comes from here.
+void AgentControlLoop::OnNewIncarnation(Incarnation incarnation) {
+  orders_.incarnation = std::max(orders_.incarnation, incarnation);
+  orders_changed_ = true;
+  const bool has_core = report_.incarnation != Incarnation{};
+  if (has_core && report_.incarnation < incarnation)
+    return;
+  Execute(parts_.control->OnStateChanged(
+      BootNow(), report_.state, std::max(report_.incarnation, incarnation)));
+}
+
 void AgentControlLoop::OnServiceChanged(const ConfigRecord& record) {
   ServiceOrder service;
   service.revision = record.revision;
@@ -160,32 +162,6 @@
   orders_changed_ = true;
 }
 
-void AgentControlLoop::ReadDirectoryWhenDue() {
-  const absl::Time now = BootNow();
-  if (!need_directory_ || now < next_read_)
-    return;
-  need_directory_ = false;
-  next_read_ = now + backoff_.OnFailure();
-  calls_.Increment();
-  const Result<ConfigRecord> record = parts_.platform->Read(
-      DirectoryKey(parts_.control->self().region));
-  Result<std::vector<Endpoint>> entries =
-      record.has_value() ? ParseDirectory(record.value().body)
-                         : Result<std::vector<Endpoint>>(record.error());
-  if (!entries.has_value()) {
-    if (std::exchange(reachable_, false)) {
-      LogLine(kDirectoryUnavailable, Severity::kWarning)
-          .Field("error", entries.error().ToString());
-    }
-    return;
-  }
-  reachable_ = true;
-  if (!entries.value().empty())
-    backoff_.OnSuccess();
-  LogLine(kDirectoryRead).Field("entries", entries.value().size());
-  Execute(parts_.control->OnDirectory(BootNow(), entries.value()));
-}
-
 void AgentControlLoop::PublishStatus() {
   AgentStatus status;
   status.self = parts_.control->self();
--- a/lib/agent/control_loop.h
+++ b/lib/agent/control_loop.h
@@ -8,12 +8,10 @@
 
 #include "absl/time/time.h"
 #include "data_loop.h"
+#include "directory_reader.h"
 #include "skylarkshunt/admin/status_board.h"
-#include "skylarkshunt/base/counters.h"
 #include "skylarkshunt/control/agent_control.h"
 #include "skylarkshunt/net/poller.h"
-#include "skylarkshunt/platform/platform_client.h"
-#include "skylarkshunt/process/backoff.h"
 #include "skylarkshunt/transport/control_transport.h"
 
 namespace skylarkshunt {
@@ -21,21 +19,18 @@
 /// Time between two publications of the status.
 inline constexpr absl::Duration kAgentStatusInterval = absl::Milliseconds(250);
 
-/// The control thread of an agent: heartbeats and configuration. While no relay
-/// is known it reads the platform's directory, and only then waits for it. The
-/// parts it is given must outlive it.
+/// The control thread of an agent: heartbeats and configuration. The parts it is
+/// given must outlive it.
 class AgentControlLoop {
  public:
   struct Parts {
     std::unique_ptr<AgentControl> control;
-    std::unique_ptr<PlatformClient> platform;
     std::string service_name;
-    uint64_t random_seed = 1;
     ControlTransport& transport;
     AgentDataLoop& data;
+    DirectoryReader& directory;
     StatusBoard& board;
-    CounterRegistry& counters;
-    /// Notified by the transport and the data loop.
+    /// Notified by the transport, the data loop and the directory reader.
     Wakeup& wakeup;
   };
 
@@ -56,19 +51,14 @@
   void Execute(AgentControlActions actions);
   void Execute(const AgentControlAction& action);
   void OnServiceChanged(const ConfigRecord& record);
-  void ReadDirectoryWhenDue();
+  void OnNewIncarnation(Incarnation incarnation);
   void PublishStatus();
 
   Parts parts_;
-  Counter& calls_;
-  Backoff backoff_;
   AgentOrders orders_;
   AgentReport report_;
   bool orders_changed_ = false;
-  bool need_directory_ = false;
-  bool reachable_ = true;
   absl::Time next_tick_ = absl::InfinitePast();
-  absl::Time next_read_ = absl::InfinitePast();
   absl::Time next_status_ = absl::InfinitePast();
   std::atomic<bool> shutdown_{false};
   std::atomic<bool> ended_{false};
--- a/lib/entry/platform_loop.cc
+++ b/lib/entry/platform_loop.cc
@@ -1,9 +1,10 @@
 #include "platform_loop.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 #include <utility>
 
-#include "absl/strings/match.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/net/poller.h"
 #include "skylarkshunt/process/directory.h"
@@ -24,18 +25,8 @@
 /// when its wake-up was dropped.
 constexpr absl::Duration kIdleWait = absl::Seconds(1);
 
-bool IsConfiguration(const ConfigRecord& record) {
-  return absl::StartsWith(record.key, "services/") ||
-         absl::StartsWith(record.key, "drains/");
-}
-
-void KeepConfiguration(std::vector<ConfigRecord>& records) {
-  records.erase(std::remove_if(records.begin(), records.end(),
-                               [](const ConfigRecord& record) {
-                                 return !IsConfiguration(record);
-                               }),
-                records.end());
-}
+constexpr std::array<absl::string_view, 2> kPrefixes = {"services/",
+                                                        "drains/"};
 
 std::vector<Endpoint> Sorted(std::vector<Endpoint> entries) {
   std::sort(entries.begin(), entries.end(),
@@ -168,6 +159,10 @@
       DirectoryKey(options_.region), WriteDirectoryBody(*unwritten_),
       expected.value());
   // After a conflict or a lost answer the next round reads the object again.
+  if (!written.has_value() && written.error().kind == ErrorKind::kConflict) {
+    next_write_ = now + backoff_.Jitter(kFirstRetry);
+    return kFirstRetry;
+  }
   if (!written.has_value()) {
     OnFailure(written.error(), "write");
     return absl::ZeroDuration();
@@ -185,27 +180,44 @@
 absl::Duration PlatformLoop::ListWhenDue(absl::Time now) {
   if (!need_list_ && now < next_list_)
     return next_list_ - now;
-  calls_.Increment();
-  Result<ObjectList> list = options_.client->List("");
+  Result<ObjectList> list = ListAll();
   if (!list.has_value()) {
     OnFailure(list.error(), "list");
     return absl::ZeroDuration();
   }
   OnSuccess();
-  KeepConfiguration(list.value().objects);
-  watched_ = list.value().revision;
+  const Revision revision = list.value().revision;
+  watched_.fill(revision);
   next_list_ = now + backoff_.Jitter(kRelistInterval);
   LogLine(kPlatformListed)
-      .Field("revision", ToNumber(watched_))
+      .Field("revision", ToNumber(revision))
       .Field("objects", list.value().objects.size());
   need_list_ =
-      !Push(PlatformListed{watched_, std::move(list.value().objects)});
+      !Push(PlatformListed{revision, std::move(list.value().objects)});
   return absl::ZeroDuration();
 }
 
+/// Joins the lists of all prefixes at the lowest of their revisions: what
+/// changed after it comes again with the watch.
+Result<ObjectList> PlatformLoop::ListAll() {
+  ObjectList all;
+  all.revision = Revision{std::numeric_limits<uint64_t>::max()};
+  for (const absl::string_view prefix : kPrefixes) {
+    calls_.Increment();
+    BOOST_OUTCOME_TRY(list, options_.client->List(prefix));
+    all.revision = std::min(all.revision, list.revision);
+    std::move(list.objects.begin(), list.objects.end(),
+              std::back_inserter(all.objects));
+  }
+  return all;
+}
+
 void PlatformLoop::WatchOnce() {
   calls_.Increment();
-  Result<WatchBatch> batch = options_.client->Watch("", watched_, kWatchWait);
+  Revision& after = watched_[next_prefix_];
+  const absl::string_view prefix = kPrefixes[next_prefix_];
+  next_prefix_ = (next_prefix_ + 1) % kPrefixes.size();
+  Result<WatchBatch> batch = options_.client->Watch(prefix, after, kWatchWait);
   if (!batch.has_value()) {
     if (batch.error().kind == ErrorKind::kNotFound)
       need_list_ = true;
@@ -214,8 +226,7 @@
     return;
   }
   OnSuccess();
-  KeepConfiguration(batch.value().changes);
-  watched_ = batch.value().revision;
+  after = batch.value().revision;
   if (batch.value().changes.empty())
     return;
   if (!Push(PlatformChanges{std::move(batch.value().changes)}))
--- a/lib/entry/platform_loop.h
+++ b/lib/entry/platform_loop.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKSHUNT_LIB_ENTRY_PLATFORM_LOOP_H_
 #define SKYLARKSHUNT_LIB_ENTRY_PLATFORM_LOOP_H_
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -37,9 +38,10 @@
 /// Events that wait for the control thread. A full ring drops the event, counts
 /// it and lists the platform again.
 inline constexpr size_t kPlatformRingSlots = 16;
-/// Longest wait of one watch call. It bounds the delay of a directory write and
-/// of the end of the process.
-inline constexpr absl::Duration kWatchWait = absl::Seconds(2);
+/// Longest wait of one watch call. The thread watches services and drains in
+/// turn, so that it bounds the delay of a change, of a directory write and of
+/// the end of the process.
+inline constexpr absl::Duration kWatchWait = absl::Milliseconds(500);
 /// Time between two lists while a watch goes on: the repair of a watch that
 /// skipped a change.
 inline constexpr absl::Duration kRelistInterval = absl::Seconds(60);
@@ -81,6 +83,7 @@
   absl::Duration WriteDirectoryWhenDue(absl::Time now);
   absl::Duration ListWhenDue(absl::Time now);
   void WatchOnce();
+  Result<ObjectList> ListAll();
   /// Reads the directory object and hands its entries on. Returns the revision
   /// of the object, 0 when there is none.
   Result<Revision> ReadDirectory(std::vector<Endpoint>& entries);
@@ -103,7 +106,9 @@
   // Below: the thread's own.
   bool need_list_ = true;
   bool reachable_ = true;
-  Revision watched_{};
+  /// Where the watch of each prefix goes on, and the prefix that is next.
+  std::array<Revision, 2> watched_{};
+  size_t next_prefix_ = 0;
   absl::Time not_before_ = absl::InfinitePast();
   absl::Time next_list_ = absl::InfinitePast();
   absl::Time next_read_ = absl::InfinitePast();
--- a/lib/entry/route_log.cc
+++ b/lib/entry/route_log.cc
@@ -24,6 +24,8 @@
       return "moved";
     case RouteKind::kRefused:
       return "refused";
+    case RouteKind::kDropped:
+      return "dropped";
   }
   return "unknown";
 }
@@ -69,8 +71,9 @@
 }
 
 bool RouteLog::Sampled(RouteKind kind) {
-  const bool established =
-      kind == RouteKind::kBound || kind == RouteKind::kUnbound;
+  const bool established = kind == RouteKind::kBound ||
+                           kind == RouteKind::kUnbound ||
+                           kind == RouteKind::kDropped;
   if (!established)
     return true;
   const uint32_t rate = rate_.load(std::memory_order_relaxed);
--- a/lib/entry/route_log.h
+++ b/lib/entry/route_log.h
@@ -25,7 +25,7 @@
   void SetRate(uint32_t established_rate) { rate_.store(established_rate); }
 
  private:
-  static constexpr size_t kKinds = 6;
+  static constexpr size_t kKinds = 7;
   static constexpr size_t kReasons = 17;
 
   bool Sampled(RouteKind kind);
--- a/lib/process/directory.cc
+++ b/lib/process/directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "skylarkshunt/control/timing.h"
 #include "skylarkshunt/serial/json_object.h"
 
 namespace skylarkshunt {
