Let the caller stand-in repeat refused idempotent requests

Cause: another copy of a refused idempotent request may be running, so ending the request at the first refusal loses its answer; a refusal binding must not become the flow's binding. Change: a refused request is sent again after the named delay, four refusals at most; refusal bindings stay with their request. Result: standin_caller_test passes.

--- a/standins/caller/caller_session.cc
+++ b/standins/caller/caller_session.cc
@@ -34,7 +34,7 @@
 bool LosesFlow(const FinishedRequest& finished) {
   return finished.end == CallEnd::kOutcomeUnknown ||
          finished.end == CallEnd::kTimedOut ||
-         (finished.end == CallEnd::kNotRun && LosesFlow(finished.reason));
+         (IsRefusal(finished.end) && LosesFlow(finished.reason));
 }
 
 CallEnd EndOf(Outcome outcome) {
@@ -45,6 +45,8 @@
       return CallEnd::kAnswerGone;
     case Outcome::kTargetError:
       return CallEnd::kTargetError;
+    case Outcome::kRefused:
+      return CallEnd::kRefused;
     default:
       return CallEnd::kNotRun;
   }
@@ -68,6 +70,8 @@
       return "answer_gone";
     case CallEnd::kTargetError:
       return "target_error";
+    case CallEnd::kRefused:
+      return "refused";
   }
   return "unknown";
 }
@@ -154,6 +158,10 @@
     ++ignored_answers_;
     return;
   }
+  if (answer.outcome == Outcome::kRefused &&
+      ++pending->refusals < kMaxRefusals) {
+    return RepeatLater(now, answer, pending);
+  }
   AdoptBinding(answer.binding);
   if (answer.outcome == Outcome::kTargetError)
     accepted_ = true;
@@ -164,6 +172,23 @@
   Finish(now, pending, std::move(finished), output);
 }
 
+// Another copy of a refused request may be running, so it stays open and is
+// sent again after the delay that the refusal names.
+void CallerSession::RepeatLater(absl::Time now,
+                                const Answer& answer,
+                                Pending* pending) {
+  const absl::Duration delay = absl::Milliseconds(answer.retry_after_ms);
+  pending->next_send = now + std::max(kFirstTimeout, delay);
+  if (!LosesFlow(answer.reason))
+    return;
+  if (binding_ == pending->request.binding) {
+    binding_.reset();
+    accepted_ = false;
+  }
+  pending->request.binding = binding_;
+  pending->request.opening = !accepted_;
+}
+
 void CallerSession::OnBind(absl::Time now,
                            const Answer& answer,
                            Pending* pending,
@@ -177,8 +202,11 @@
   pending->request.binding = answer.binding;
   pending->request.opening = false;
   pending->timeout = kFirstTimeout;
-  accepted_ = true;
-  AdoptBinding(answer.binding);
+  // A refusal binding only makes the refusal of this request final.
+  if (!IsRefusalBinding(*answer.binding)) {
+    accepted_ = true;
+    AdoptBinding(answer.binding);
+  }
   SendRequest(now, pending, output);
 }
 
--- a/standins/caller/caller_session.h
+++ b/standins/caller/caller_session.h
@@ -34,8 +34,16 @@
   kTimedOut,        ///< Idempotent, and its deadline passed.
   kAnswerGone,      ///< Ran; the answer is no longer held.
   kTargetError,     ///< Ran and failed at the target.
+  kRefused,         ///< Idempotent, and not taken kMaxRefusals times.
 };
-inline constexpr int kCallEnds = 7;
+inline constexpr int kCallEnds = 8;
+/// Refusals after which an idempotent request is given up.
+inline constexpr int kMaxRefusals = 4;
+
+/// Whether the request may be made again under a new request id. Thread-safe.
+inline bool IsRefusal(CallEnd end) {
+  return end == CallEnd::kNotRun || end == CallEnd::kRefused;
+}
 
 /// Returns a stable name such as "not_run". Thread-safe.
 absl::string_view CallEndName(CallEnd end);
@@ -72,7 +80,7 @@
 ///
 /// A request repeats after 150 ms, doubling to 1 s, until its deadline. It
 /// keeps the first binding that it got; new requests take the flow's newest. A
-/// refused request is never repeated: Start() makes a new request id.
+/// request that was not run is never repeated: Start() makes a new request id.
 class CallerSession {
  public:
   struct Options {
@@ -118,6 +126,7 @@
     AnswerAssembler assembler;
     /// Binding of the agent that holds the answer.
     absl::optional<Binding> answerer;
+    int refusals = 0;
     /// Chunks that are on their way.
     ChunkRange window;
   };
@@ -125,6 +134,7 @@
   Pending* Find(const RequestId& id);
   void SendRequest(absl::Time now, Pending* pending, CallerOutput* output);
   void SendFetch(absl::Time now, Pending* pending, CallerOutput* output);
+  void RepeatLater(absl::Time now, const Answer& answer, Pending* pending);
   void OnBind(absl::Time now,
               const Answer& answer,
               Pending* pending,
--- a/standins/caller/load_worker.cc
+++ b/standins/caller/load_worker.cc
@@ -241,7 +241,7 @@
   if (finished.end == CallEnd::kOk) {
     kind.waiting_us.Record(
         static_cast<uint64_t>(absl::ToInt64Microseconds(now - work.due)));
-  } else if (finished.end == CallEnd::kNotRun) {
+  } else if (IsRefusal(finished.end)) {
     if (Reissue(now, std::move(work), finished))
       return;
     ++kind.given_up;
@@ -263,7 +263,7 @@
   kind.missing += finished.missing ? 1 : 0;
   kind.attempts += finished.attempts;
   kind.max_attempts = std::max(kind.max_attempts, finished.attempts);
-  if (finished.end == CallEnd::kNotRun)
+  if (IsRefusal(finished.end))
     ++kind.not_run[finished.reason];
   if (finished.end == CallEnd::kOk)
     ++tally_.targets[ToNumber(finished.target)];
