--- a/lib/admin/admin_server.cc
+++ b/lib/admin/admin_server.cc
@@ -42,7 +42,9 @@
  public:
   HttpAdminServer(const CounterRegistry& counters, const StatusBoard& board)
       : counters_(counters), board_(board) {
-    server_.new_task_queue = [] { return new httplib::ThreadPool(kAdminWorkers); };
+    server_.new_task_queue = [] {
+      return new httplib::ThreadPool(kAdminWorkers);
+    };
     server_.set_socket_options(SetSocketOptions);
     server_.set_tcp_nodelay(true);
     server_.set_read_timeout(kAdminTimeoutSeconds);
@@ -65,9 +67,8 @@
     const std::string host = Host(listen);
     errno = 0;
     int port = listen.port;
-    const bool bound = port == 0
-                           ? (port = server_.bind_to_any_port(host)) > 0
-                           : server_.bind_to_port(host, port);
+    const bool bound = port == 0 ? (port = server_.bind_to_any_port(host)) > 0
+                                 : server_.bind_to_port(host, port);
     if (!bound)
       return BindError(listen, errno);
     local_ = Endpoint{listen.address, static_cast<uint16_t>(port)};
@@ -89,11 +90,10 @@
           "stop the process that holds it, or change \"admin\" in the "
           "settings");
     }
-    return MakeError(
-        ErrorKind::kSystem,
-        absl::StrCat("admin address ", listen.ToString(),
-                     " cannot be bound: ", std::strerror(code)),
-        "use an address of this instance as \"admin\"");
+    return MakeError(ErrorKind::kSystem,
+                     absl::StrCat("admin address ", listen.ToString(),
+                                  " cannot be bound: ", std::strerror(code)),
+                     "use an address of this instance as \"admin\"");
   }
 
   void AddRoutes() {
--- a/lib/admin/status_board.cc
+++ b/lib/admin/status_board.cc
@@ -49,12 +49,11 @@
   json config = json::array();
   for (const ConfigRecord& record : status.config)
     config.push_back(ToJson(record));
-  return json{
-      {"self", ToJson(status.self, "")},
-      {"instances", std::move(instances)},
-      {"config", std::move(config)},
-      {"snapshot",
-       {{"services", status.services}, {"targets", status.targets}}}};
+  return json{{"self", ToJson(status.self, "")},
+              {"instances", std::move(instances)},
+              {"config", std::move(config)},
+              {"snapshot",
+               {{"services", status.services}, {"targets", status.targets}}}};
 }
 
 json ToJson(const AgentStats& stats) {
--- a/lib/agent/control_loop.cc
+++ b/lib/agent/control_loop.cc
@@ -14,8 +14,7 @@
 
 }  // namespace
 
-AgentControlLoop::AgentControlLoop(Parts parts)
-    : parts_(std::move(parts)) {
+AgentControlLoop::AgentControlLoop(Parts parts) : parts_(std::move(parts)) {
   orders_.incarnation = parts_.control->self().incarnation;
 }
 
@@ -77,8 +76,8 @@
       continue;
     }
     const auto& received = std::get<ControlReceived>(*event);
-    Execute(parts_.control->OnMessage(BootNow(), received.peer,
-                                      received.message));
+    Execute(
+        parts_.control->OnMessage(BootNow(), received.peer, received.message));
   }
 }
 
--- a/lib/agent/control_loop.h
+++ b/lib/agent/control_loop.h
@@ -19,8 +19,8 @@
 /// Time between two publications of the status.
 inline constexpr absl::Duration kAgentStatusInterval = absl::Milliseconds(250);
 
-/// The control thread of an agent: heartbeats and configuration. The parts it is
-/// given must outlive it.
+/// The control thread of an agent: heartbeats and configuration. The parts it
+/// is given must outlive it.
 class AgentControlLoop {
  public:
   struct Parts {
--- a/lib/agent/data_loop.cc
+++ b/lib/agent/data_loop.cc
@@ -36,7 +36,8 @@
       malformed_(options.counters->Find(
           "skylarkshunt_malformed_datagrams_total",
           "Datagrams dropped because they did not decode.",
-          MetricType::kCounter, "from=\"link\"")),
+          MetricType::kCounter,
+          "from=\"link\"")),
       unsent_(options.counters->Find(
           "skylarkshunt_unsent_datagrams_total",
           "Datagrams that were too large or that the kernel did not take.")),
@@ -119,7 +120,8 @@
   while (const absl::optional<RunEnded> ended = pool_.TryPop()) {
     // Run numbers are unique in the process; a core ignores those of others.
     for (Core& core : cores_)
-      Execute(core, core.core->OnRunEnded(BootNow(), ended->run, ended->result));
+      Execute(core,
+              core.core->OnRunEnded(BootNow(), ended->run, ended->result));
   }
 }
 
@@ -163,10 +165,9 @@
 
 void AgentDataLoop::ApplyOrders(const AgentOrders& orders) {
   const absl::Time now = BootNow();
-  const bool newer =
-      orders.service.has_value() &&
-      (!applied_.service.has_value() ||
-       orders.service->revision > applied_.service->revision);
+  const bool newer = orders.service.has_value() &&
+                     (!applied_.service.has_value() ||
+                      orders.service->revision > applied_.service->revision);
   if (newer)
     ApplyService(*orders.service, orders.incarnation);
   if (!cores_.empty()) {
@@ -203,8 +204,7 @@
     return;
   Core& newest = cores_.back();
   pool_.SetWorkers(service.config.slots);
-  Execute(newest,
-          newest.core->OnConfig(now, service.revision, service.config));
+  Execute(newest, newest.core->OnConfig(now, service.revision, service.config));
 }
 
 void AgentDataLoop::AddCore(const ServiceOrder& service,
@@ -217,8 +217,7 @@
   }
   AgentCore::Options options;
   options.service = service.config.uid;
-  options.uid =
-      MakeTargetUid(service.config.uid, options_.target.ToString());
+  options.uid = MakeTargetUid(service.config.uid, options_.target.ToString());
   options.incarnation = incarnation;
   options.policy = options_.policy;
   options.random_seed = options_.random_seed;
@@ -274,9 +273,8 @@
 
 bool AgentDataLoop::shutdown_complete() const {
   return applied_.shutdown &&
-         std::all_of(cores_.begin(), cores_.end(), [](const Core& core) {
-           return core.shutdown_complete;
-         });
+         std::all_of(cores_.begin(), cores_.end(),
+                     [](const Core& core) { return core.shutdown_complete; });
 }
 
 void AgentDataLoop::ReportWhenDue() {
@@ -291,8 +289,8 @@
     const AgentCore& newest = *cores_.back().core;
     report.state = newest.state();
     report.incarnation = newest.incarnation();
-    report.applied = applied_.service.has_value() ? applied_.service->revision
-                                                  : Revision{};
+    report.applied =
+        applied_.service.has_value() ? applied_.service->revision : Revision{};
     report.stats = newest.Stats();
   }
   reports_.PushReplacingOldest(report);
--- a/lib/agent/target_call.cc
+++ b/lib/agent/target_call.cc
@@ -88,7 +88,8 @@
     return Ended(RunResult::Kind::kNotSent);
   httplib::Client client(Host(target), target.port);
   Prepare(client, left);
-  client.set_socket_options([&on_socket](socket_t socket) { on_socket(socket); });
+  client.set_socket_options(
+      [&on_socket](socket_t socket) { on_socket(socket); });
   std::string body;
   bool too_long = false;
   httplib::Request request = ToHttp(run, left);
--- a/lib/agent/target_call.h
+++ b/lib/agent/target_call.h
@@ -11,7 +11,7 @@
 
 /// Longest answer of a target, in bytes. A longer one counts as a failure of
 /// the target after it ran.
-inline constexpr size_t kMaxTargetAnswerBytes = 4 * 1024 * 1024;
+inline constexpr size_t kMaxTargetAnswerBytes = size_t{16} << 20;
 /// Longest wait for the connection to the target beside the agent.
 inline constexpr absl::Duration kTargetConnectTimeout = absl::Seconds(1);
 /// Longest wait for the target's health end point.
--- a/lib/entry/control_loop.cc
+++ b/lib/entry/control_loop.cc
@@ -99,8 +99,8 @@
     if (const auto* changes = std::get_if<PlatformChanges>(&*event))
       Execute(parts_.control->OnPlatformChanges(now, changes->changes));
     if (const auto* list = std::get_if<PlatformListed>(&*event)) {
-      Execute(parts_.control->OnPlatformList(now, list->revision,
-                                             list->objects));
+      Execute(
+          parts_.control->OnPlatformList(now, list->revision, list->objects));
     }
     if (const auto* directory = std::get_if<DirectoryRead>(&*event))
       Execute(parts_.control->OnDirectory(now, directory->entries));
--- a/lib/entry/data_plane.cc
+++ b/lib/entry/data_plane.cc
@@ -22,8 +22,7 @@
 Result<std::unique_ptr<EntryDataPlane>> EntryDataPlane::Open(
     const Options& options) {
   BOOST_OUTCOME_TRY(callers, UdpSocket::Bind(options.data));
-  BOOST_OUTCOME_TRY(agents,
-                    UdpSocket::Bind(Endpoint{options.data.address, 0}));
+  BOOST_OUTCOME_TRY(agents, UdpSocket::Bind(Endpoint{options.data.address, 0}));
   BOOST_OUTCOME_TRY(wakeup, Wakeup::Create());
   Router::Options routing;
   routing.entry = agents.local();
@@ -32,9 +31,8 @@
   routing.random_seed = options.random_seed;
   BOOST_OUTCOME_TRY(router, Router::Create(routing));
   router->UseSnapshot(RoutingSnapshot::Build(options.region, {}, {}, nullptr));
-  std::unique_ptr<EntryDataPlane> plane(
-      new EntryDataPlane(options, std::move(callers), std::move(agents),
-                         std::move(wakeup)));
+  std::unique_ptr<EntryDataPlane> plane(new EntryDataPlane(
+      options, std::move(callers), std::move(agents), std::move(wakeup)));
   plane->router_ = std::move(router);
   return plane;
 }
--- a/lib/entry/platform_loop.cc
+++ b/lib/entry/platform_loop.cc
@@ -25,15 +25,13 @@
 /// when its wake-up was dropped.
 constexpr absl::Duration kIdleWait = absl::Seconds(1);
 
-constexpr std::array<absl::string_view, 2> kPrefixes = {"services/",
-                                                        "drains/"};
+constexpr std::array<absl::string_view, 2> kPrefixes = {"services/", "drains/"};
 
 std::vector<Endpoint> Sorted(std::vector<Endpoint> entries) {
-  std::sort(entries.begin(), entries.end(),
-            [](const Endpoint& a, const Endpoint& b) {
-              return a.address != b.address ? a.address < b.address
-                                            : a.port < b.port;
-            });
+  std::sort(
+      entries.begin(), entries.end(), [](const Endpoint& a, const Endpoint& b) {
+        return a.address != b.address ? a.address < b.address : a.port < b.port;
+      });
   return entries;
 }
 
@@ -155,9 +153,9 @@
     return absl::ZeroDuration();
   }
   calls_.Increment();
-  const Result<Revision> written = options_.client->Write(
-      DirectoryKey(options_.region), WriteDirectoryBody(*unwritten_),
-      expected.value());
+  const Result<Revision> written =
+      options_.client->Write(DirectoryKey(options_.region),
+                             WriteDirectoryBody(*unwritten_), expected.value());
   // After a conflict or a lost answer the next round reads the object again.
   if (!written.has_value() && written.error().kind == ErrorKind::kConflict) {
     next_write_ = now + backoff_.Jitter(kFirstRetry);
@@ -192,8 +190,7 @@
   LogLine(kPlatformListed)
       .Field("revision", ToNumber(revision))
       .Field("objects", list.value().objects.size());
-  need_list_ =
-      !Push(PlatformListed{revision, std::move(list.value().objects)});
+  need_list_ = !Push(PlatformListed{revision, std::move(list.value().objects)});
   return absl::ZeroDuration();
 }
 
--- a/lib/process/control_notice.cc
+++ b/lib/process/control_notice.cc
@@ -12,7 +12,9 @@
 constexpr EventId kConfigApplied{5001, "config_applied"};
 constexpr EventId kStaleConfigIgnored{5002, "stale_config_ignored"};
 
-void LogInstance(EventId event, Severity severity, const InstanceRecord& record) {
+void LogInstance(EventId event,
+                 Severity severity,
+                 const InstanceRecord& record) {
   LogLine(event, severity)
       .Field("uid", ToHex(ToNumber(record.uid)))
       .Field("role", record.role == Role::kEntry ? "entry" : "agent")
--- a/lib/process/directory.cc
+++ b/lib/process/directory.cc
@@ -25,8 +25,8 @@
 
 std::string WriteDirectoryBody(absl::Span<const Endpoint> entries) {
   nlohmann::json list = nlohmann::json::array();
-  for (const Endpoint& entry : entries.first(
-           std::min(entries.size(), kMaxDirectoryEntries)))
+  for (const Endpoint& entry :
+       entries.first(std::min(entries.size(), kMaxDirectoryEntries)))
     list.push_back(entry.ToString());
   return nlohmann::json{{"entries", std::move(list)}}.dump();
 }
--- a/lib/transport/control_transport.cc
+++ b/lib/transport/control_transport.cc
@@ -54,8 +54,8 @@
   Result<void> Open() {
     outbound_ = OutboundLinks::Create(io_, options_, counters_, *this);
     if (options_.listen.has_value()) {
-      BOOST_OUTCOME_TRY(inbound, InboundLinks::Listen(io_, options_,
-                                                           counters_, *this));
+      BOOST_OUTCOME_TRY(inbound,
+                        InboundLinks::Listen(io_, options_, counters_, *this));
       inbound_ = std::move(inbound);
     }
     ScheduleSweep();
@@ -184,24 +184,24 @@
                               "Control messages that did not decode.")),
       oversized(registry.Find("skylarkshunt_control_oversized_total",
                               "Control messages beyond the size limit.")),
-      outbound_refused(
-          registry.Find("skylarkshunt_control_links_refused_total",
-                        "Control links refused at the limit.",
-                        MetricType::kCounter, "direction=\"outbound\"")),
-      inbound_refused(
-          registry.Find("skylarkshunt_control_links_refused_total",
-                        "Control links refused at the limit.",
-                        MetricType::kCounter, "direction=\"inbound\"")),
+      outbound_refused(registry.Find("skylarkshunt_control_links_refused_total",
+                                     "Control links refused at the limit.",
+                                     MetricType::kCounter,
+                                     "direction=\"outbound\"")),
+      inbound_refused(registry.Find("skylarkshunt_control_links_refused_total",
+                                    "Control links refused at the limit.",
+                                    MetricType::kCounter,
+                                    "direction=\"inbound\"")),
       dropped(registry.Find("skylarkshunt_control_dropped_total",
                             "Messages dropped while a link was opening.")),
-      commands_overflow(
-          registry.Find("skylarkshunt_ring_overflows_total",
-                        "Pushes that found a ring full.", MetricType::kCounter,
-                        "ring=\"control_commands\"")),
-      events_overflow(
-          registry.Find("skylarkshunt_ring_overflows_total",
-                        "Pushes that found a ring full.", MetricType::kCounter,
-                        "ring=\"control_events\"")) {}
+      commands_overflow(registry.Find("skylarkshunt_ring_overflows_total",
+                                      "Pushes that found a ring full.",
+                                      MetricType::kCounter,
+                                      "ring=\"control_commands\"")),
+      events_overflow(registry.Find("skylarkshunt_ring_overflows_total",
+                                    "Pushes that found a ring full.",
+                                    MetricType::kCounter,
+                                    "ring=\"control_events\"")) {}
 
 Result<std::unique_ptr<ControlTransport>> ControlTransport::Start(
     Options options) {
--- a/lib/transport/inbound_links.cc
+++ b/lib/transport/inbound_links.cc
@@ -38,7 +38,8 @@
     server_.set_validate_handler(
         [this](const connection_hdl& hdl) { return Admit(hdl); });
     server_.set_fail_handler([this](const connection_hdl& hdl) { OnEnd(hdl); });
-    server_.set_close_handler([this](const connection_hdl& hdl) { OnEnd(hdl); });
+    server_.set_close_handler(
+        [this](const connection_hdl& hdl) { OnEnd(hdl); });
     server_.set_message_handler(
         [this](const connection_hdl& hdl, const Server::message_ptr& message) {
           OnMessage(hdl, message);
@@ -111,7 +112,8 @@
     ConnectionId id{};
     absl::Time last_heard;
   };
-  using LinkMap = std::map<connection_hdl, Link, std::owner_less<connection_hdl>>;
+  using LinkMap =
+      std::map<connection_hdl, Link, std::owner_less<connection_hdl>>;
 
   /// websocketpp replaces the system's error code by one of its own, so that
   /// the cause is found by binding the address once more.
--- a/lib/transport/outbound_links.cc
+++ b/lib/transport/outbound_links.cc
@@ -39,9 +39,11 @@
     client_.clear_error_channels(websocketpp::log::elevel::all);
     client_.init_asio(&io);
     client_.set_max_message_size(kMaxControlMessageBytes);
-    client_.set_open_handler([this](const connection_hdl& hdl) { OnOpen(hdl); });
+    client_.set_open_handler(
+        [this](const connection_hdl& hdl) { OnOpen(hdl); });
     client_.set_fail_handler([this](const connection_hdl& hdl) { OnEnd(hdl); });
-    client_.set_close_handler([this](const connection_hdl& hdl) { OnEnd(hdl); });
+    client_.set_close_handler(
+        [this](const connection_hdl& hdl) { OnEnd(hdl); });
     client_.set_message_handler(
         [this](const connection_hdl& hdl, const Client::message_ptr& message) {
           OnMessage(hdl, message);
@@ -138,9 +140,8 @@
   bool Write(Link& link, const std::vector<uint8_t>& payload) {
     if (link.connection->get_buffered_amount() > kMaxUnsentBytes)
       return false;
-    const websocketpp::lib::error_code error =
-        link.connection->send(payload.data(), payload.size(),
-                              websocketpp::frame::opcode::binary);
+    const websocketpp::lib::error_code error = link.connection->send(
+        payload.data(), payload.size(), websocketpp::frame::opcode::binary);
     if (error)
       return false;
     counters_.bytes_sent.Add(payload.size());
--- a/tools/skylarkshuntd/options.cc
+++ b/tools/skylarkshuntd/options.cc
@@ -13,7 +13,8 @@
 constexpr char kUsage[] =
     "skylarkshuntd --settings FILE [--check]\n"
     "\n"
-    "Runs one instance of the load balancer as entry or agent, as the settings\n"
+    "Runs one instance of the load balancer as entry or agent, as the "
+    "settings\n"
     "say. Logs to stderr; prints one JSON line with its addresses when ready.\n"
     "SIGTERM drains and ends it, SIGHUP reads the log settings again.\n"
     "\n"
