--- a/lib/admin/admin_server.cc
+++ b/lib/admin/admin_server.cc
@@ -1,8 +1,6 @@
 #include "skylarkshunt/admin/admin_server.h"
 
-#include <arpa/inet.h>
 #include <httplib.h>
-#include <netinet/in.h>
 
 #include <cerrno>
 #include <cstring>
@@ -24,11 +22,8 @@
 constexpr size_t kMaxAdminBodyBytes = 1024;
 
 std::string Host(Endpoint endpoint) {
-  in_addr address{};
-  address.s_addr = htonl(endpoint.address);
-  char text[INET_ADDRSTRLEN] = {};
-  inet_ntop(AF_INET, &address, text, sizeof(text));
-  return text;
+  const std::string text = endpoint.ToString();
+  return text.substr(0, text.find(':'));
 }
 
 /// Replaces httplib's default of SO_REUSEPORT, with which two processes could
--- a/lib/agent/control_loop.cc
+++ b/lib/agent/control_loop.cc
@@ -98,11 +98,14 @@
   const bool healthy = !orders_.shutdown && !report_.shutdown_complete &&
                        report_.state < InstanceState::kDraining;
   parts_.board.SetHealthy(healthy);
-  if (report_.shutdown_complete)
-    ended_.store(true);
+  if (!report_.shutdown_complete || ended_.load())
+    return;
+  // The last heartbeat, which says that the agent leaves, goes out at once.
+  Execute(parts_.control->OnTick(now));
+  ended_.store(true);
 }
 
-void AgentControlLoop::Execute(AgentControlActions actions) {
+void AgentControlLoop::Execute(const AgentControlActions& actions) {
   for (const AgentControlAction& action : actions)
     Execute(action);
 }
--- a/lib/agent/control_loop.h
+++ b/lib/agent/control_loop.h
@@ -48,7 +48,7 @@
   void Step();
   void TakeTransportEvents();
   void TakeReport();
-  void Execute(AgentControlActions actions);
+  void Execute(const AgentControlActions& actions);
   void Execute(const AgentControlAction& action);
   void OnServiceChanged(const ConfigRecord& record);
   void OnNewIncarnation(Incarnation incarnation);
--- a/lib/agent/data_loop.cc
+++ b/lib/agent/data_loop.cc
@@ -236,7 +236,7 @@
       .Field("incarnation", ToNumber(incarnation));
 }
 
-void AgentDataLoop::Execute(Core& core, AgentActions actions) {
+void AgentDataLoop::Execute(Core& core, const AgentActions& actions) {
   for (const AgentAction& action : actions)
     Execute(core, action);
 }
--- a/lib/agent/data_loop.h
+++ b/lib/agent/data_loop.h
@@ -104,7 +104,7 @@
   void ApplyOrders(const AgentOrders& orders);
   void ApplyService(const ServiceOrder& service, Incarnation incarnation);
   void AddCore(const ServiceOrder& service, Incarnation incarnation);
-  void Execute(Core& core, AgentActions actions);
+  void Execute(Core& core, const AgentActions& actions);
   void Execute(Core& core, const AgentAction& action);
   void Send(Endpoint peer, const LinkMessage& message);
   void ReportWhenDue();
--- a/lib/agent/target_call.cc
+++ b/lib/agent/target_call.cc
@@ -1,8 +1,6 @@
 #include "target_call.h"
 
-#include <arpa/inet.h>
 #include <httplib.h>
-#include <netinet/in.h>
 
 #include <algorithm>
 #include <chrono>
@@ -19,11 +17,8 @@
 constexpr int kBadGateway = 502;
 
 std::string Host(Endpoint endpoint) {
-  in_addr address{};
-  address.s_addr = htonl(endpoint.address);
-  char text[INET_ADDRSTRLEN] = {};
-  inet_ntop(AF_INET, &address, text, sizeof(text));
-  return text;
+  const std::string text = endpoint.ToString();
+  return text.substr(0, text.find(':'));
 }
 
 std::chrono::milliseconds ToMs(absl::Duration duration) {
--- a/lib/transport/inbound_links.cc
+++ b/lib/transport/inbound_links.cc
@@ -17,8 +17,8 @@
 
 /// Time-outs in milliseconds.
 struct ServerConfig : websocketpp::config::asio {
-  static const long timeout_open_handshake = 2000;
-  static const long timeout_close_handshake = 1000;
+  static constexpr int64_t timeout_open_handshake = 2000;
+  static constexpr int64_t timeout_close_handshake = 1000;
 };
 
 using Server = websocketpp::server<ServerConfig>;
--- a/lib/transport/outbound_links.cc
+++ b/lib/transport/outbound_links.cc
@@ -17,13 +17,15 @@
 /// Time-outs in milliseconds, below the 2.5 s after which a silent peer is
 /// suspected.
 struct ClientConfig : websocketpp::config::asio_client {
+  // websocketpp prescribes the name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   struct transport_config : websocketpp::config::asio_client::transport_config {
-    static const long timeout_connect = 2000;
+    static constexpr int64_t timeout_connect = 2000;
   };
   using transport_type =
       websocketpp::transport::asio::endpoint<transport_config>;
-  static const long timeout_open_handshake = 2000;
-  static const long timeout_close_handshake = 1000;
+  static constexpr int64_t timeout_open_handshake = 2000;
+  static constexpr int64_t timeout_close_handshake = 1000;
 };
 
 using Client = websocketpp::client<ClientConfig>;
