--- a/lib/control/gossip.cc
+++ b/lib/control/gossip.cc
@@ -43,6 +43,31 @@
   return bytes;
 }
 
+/// The records of one bucket that are to be handed on.
+struct BucketContent {
+  std::vector<const InstanceRecord*> instances;
+  std::vector<const ConfigRecord*> config;
+};
+
+/// Appends what fits into one message, of which `bytes` are used. Returns
+/// whether everything did.
+template <typename Record>
+bool AppendThatFit(const std::vector<const Record*>& records,
+                   size_t& bytes,
+                   std::vector<Record>& list) {
+  bool complete = true;
+  for (const Record* record : records) {
+    const size_t size = EncodedBound(*record);
+    if (bytes + size > kRecordBytesPerMessage) {
+      complete = false;
+      continue;
+    }
+    bytes += size;
+    list.push_back(*record);
+  }
+  return complete;
+}
+
 }  // namespace
 
 Gossip::Gossip(EntryState& state, uint64_t random_seed)
@@ -176,13 +201,12 @@
 void Gossip::AddBuckets(absl::Time now, BucketMask due, GossipReply& reply) {
   if (due == 0)
     return;
-  std::array<std::vector<const InstanceRecord*>, kBuckets> instances;
-  std::array<std::vector<const ConfigRecord*>, kBuckets> config;
+  std::array<BucketContent, kBuckets> contents;
   state_.table.ForEachToHandOn(now, due, [&](const InstanceRecord& record) {
-    instances[BucketOf(record.uid)].push_back(&record);
+    contents[BucketOf(record.uid)].instances.push_back(&record);
   });
   state_.store.ForEachToHandOn(now, due, [&](const ConfigRecord& record) {
-    config[BucketOf(record.key)].push_back(&record);
+    contents[BucketOf(record.key)].config.push_back(&record);
   });
   size_t bytes = BytesOf(reply.instances) + BytesOf(reply.config);
   // A random first bucket, and a random order within it, so that later rounds
@@ -192,20 +216,11 @@
     const size_t bucket = (first + i) % kBuckets;
     if ((due & Bit(bucket)) == 0)
       continue;
-    std::shuffle(config[bucket].begin(), config[bucket].end(), random_);
-    bool complete = true;
-    const auto add = [&](const auto& records, auto& list) {
-      for (const auto* record : records) {
-        if (bytes + EncodedBound(*record) > kRecordBytesPerMessage) {
-          complete = false;
-          continue;
-        }
-        bytes += EncodedBound(*record);
-        list.push_back(*record);
-      }
-    };
-    add(instances[bucket], reply.instances);
-    add(config[bucket], reply.config);
+    BucketContent& content = contents[bucket];
+    std::shuffle(content.config.begin(), content.config.end(), random_);
+    const bool complete =
+        AppendThatFit(content.instances, bytes, reply.instances) &&
+        AppendThatFit(content.config, bytes, reply.config);
     if (!complete)
       return;
     reply.differing_buckets.push_back(static_cast<uint32_t>(bucket));
--- a/unittests/control/codec_test.cc
+++ b/unittests/control/codec_test.cc
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(EveryMessageSurvivesTheRoundTrip);
   CPPUNIT_TEST(TruncatedMessagesAreRejected);
   CPPUNIT_TEST(OversizedMessagesAreRejected);
+  CPPUNIT_TEST(DeeplyNestedMessagesAreRejected);
   CPPUNIT_TEST(WrongTypesAndExtraFieldsAreRejected);
   CPPUNIT_TEST(ValuesOutOfRangeAreRejected);
   CPPUNIT_TEST_SUITE_END();
@@ -105,10 +106,23 @@
                                 std::string(kMaxControlMessageBytes, 'x')});
     CPPUNIT_ASSERT(EncodeControlMessage(heartbeat).error().kind ==
                    ErrorKind::kOversizedMessage);
-    heartbeat.config[0].body.resize(100 * 1024);
+    heartbeat.config[0].body.resize(100 * size_t{1024});
     CPPUNIT_ASSERT(IsMalformed(EncodeControlMessage(heartbeat).value()));
   }
 
+  // Guards against a stack that a sender exhausts: the parser calls itself for
+  // each nested array.
+  void DeeplyNestedMessagesAreRejected() {
+    constexpr uint8_t kEmptyArray = 0x80;
+    constexpr uint8_t kArrayOfOne = 0x81;
+    for (size_t size = 1; size <= kMaxControlMessageBytes; size *= 2) {
+      std::vector<uint8_t> bytes(size, kArrayOfOne);
+      CPPUNIT_ASSERT(IsMalformed(bytes));
+      bytes.back() = kEmptyArray;
+      CPPUNIT_ASSERT(IsMalformed(bytes));
+    }
+  }
+
   // Guards against taking a message of another protocol or release for ours.
   void WrongTypesAndExtraFieldsAreRejected() {
     for (const ControlMessage& message : SampleMessages()) {
--- a/unittests/control/fleet.cc
+++ b/unittests/control/fleet.cc
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include <time.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -15,8 +17,23 @@
 // Connection numbers join the sender's index and life.
 constexpr uint64_t kLives = 1000;
 
+absl::Time ProcessorTime() {
+  timespec time = {};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return absl::TimeFromTimespec(time);
+}
+
 }  // namespace
 
+template <typename Decide>
+auto Fleet::Meter(Node& node, const Decide& decide) {
+  const absl::Time start = node.metered ? ProcessorTime() : absl::Time();
+  auto actions = decide();
+  if (node.metered)
+    node.processor += ProcessorTime() - start;
+  return actions;
+}
+
 std::string ServiceKey(size_t index) {
   return absl::StrCat("services/service", index);
 }
@@ -58,7 +75,7 @@
   }
 }
 
-void Fleet::Start(size_t node) {
+void Fleet::Start(size_t node, Incarnation incarnation) {
   Node& n = nodes_[node];
   ++n.life;
   n.paused = false;
@@ -66,8 +83,9 @@
   n.applied.clear();
   n.drained.reset();
   held_[node].clear();
+  const auto wall_clock = static_cast<uint64_t>(absl::ToUnixMillis(now_));
   n.self.incarnation =
-      Incarnation{static_cast<uint64_t>(absl::ToUnixMillis(now_))};
+      incarnation != Incarnation{} ? incarnation : Incarnation{wall_clock};
   std::vector<Endpoint> seeds;
   for (size_t i = 0; i < std::min(options_.seeds, options_.entries); ++i)
     seeds.push_back(nodes_[i].self.control);
@@ -80,7 +98,21 @@
   Event tick;
   tick.to = node;
   tick.to_life = n.life;
-  Push(tick, absl::Milliseconds(random_() % 100));
+  Push(tick, absl::Milliseconds(random_() % 500));
+}
+
+void Fleet::StartAllAndSettle(const std::string& key, Revision revision) {
+  for (size_t i = 0; i < nodes_.size(); ++i)
+    Start(i);
+  RunUntil(
+      [&] {
+        return AllHold(key, revision) &&
+               AllEntries([this](const EntryControl& entry) {
+                 return entry.Instances().size() == nodes_.size();
+               });
+      },
+      absl::Seconds(20));
+  RunFor(absl::Seconds(10));
 }
 
 void Fleet::Kill(size_t node) {
@@ -109,10 +141,21 @@
   }
 }
 
+void Fleet::Drain(size_t agent) {
+  AgentControl& control = *nodes_[agent].agent;
+  PerformAgent(agent, control.OnStateChanged(now_, InstanceState::kDraining,
+                                             control.self().incarnation));
+}
+
 void Fleet::RunFor(absl::Duration duration) {
   RunUntil([] { return false; }, duration);
 }
 
+bool Fleet::HoldsFor(const std::function<bool()>& check,
+                     absl::Duration duration) {
+  return RunUntil([&check] { return !check(); }, duration) >= duration;
+}
+
 absl::Duration Fleet::RunUntil(const std::function<bool()>& done,
                                absl::Duration limit) {
   const absl::Time start = now_;
@@ -212,21 +255,25 @@
   if (event.from_life != nodes_[event.from].life)
     return;
   if (to.agent) {
-    PerformAgent(event.to, to.agent->OnMessage(now_, peer, *event.message));
+    PerformAgent(event.to, Meter(to, [&] {
+                   return to.agent->OnMessage(now_, peer, *event.message);
+                 }));
     return;
   }
   const bool request = event.kind == Event::Kind::kRequest;
   const ConnectionId connection{request ? ConnectionOf(event.from) : 0};
-  Perform(event.to, to.entry->OnMessage(now_, connection, *event.message));
+  Perform(event.to, Meter(to, [&] {
+            return to.entry->OnMessage(now_, connection, *event.message);
+          }));
 }
 
 void Fleet::HandleTick(size_t node) {
   Node& n = nodes_[node];
   if (n.entry) {
-    Perform(node, n.entry->OnTick(now_));
+    Perform(node, Meter(n, [&] { return n.entry->OnTick(now_); }));
     ReadPlatform(node);
   } else {
-    PerformAgent(node, n.agent->OnTick(now_));
+    PerformAgent(node, Meter(n, [&] { return n.agent->OnTick(now_); }));
   }
   Event tick;
   tick.to = node;
@@ -266,6 +313,8 @@
     } else if (auto* notice = std::get_if<ControlNotice>(&action)) {
       if (notice->kind == ControlNotice::Kind::kConfigApplied)
         NoteApplied(node, notice->config);
+      if (on_notice)
+        on_notice(node, *notice);
     }
   }
 }
@@ -315,8 +364,8 @@
 bool Fleet::AllEntries(const std::function<bool(const EntryControl&)>& check,
                        const std::string& region) const {
   return std::all_of(nodes_.begin(), nodes_.end(), [&](const Node& node) {
-    const bool concerned =
-        node.entry && (region.empty() || node.self.region == region);
+    const bool concerned = node.entry && !node.paused &&
+                           (region.empty() || node.self.region == region);
     return !concerned || check(*node.entry);
   });
 }
@@ -341,6 +390,11 @@
   });
 }
 
+InstanceUid Fleet::UidOf(size_t node) const {
+  return nodes_[node].entry ? nodes_[node].entry->self().uid
+                            : nodes_[node].agent->self().uid;
+}
+
 size_t Fleet::Watching() const {
   return static_cast<size_t>(
       std::count_if(nodes_.begin(), nodes_.end(),
--- a/unittests/control/fleet.h
+++ b/unittests/control/fleet.h
@@ -48,6 +48,9 @@
     absl::optional<bool> drained;
     size_t directory_writes = 0;
     size_t new_incarnations = 0;
+    /// Whether to add up the processor time of the node's decisions.
+    bool metered = false;
+    absl::Duration processor;
   };
   /// Called for each message handed to the network.
   using Observer =
@@ -61,14 +64,21 @@
   size_t AgentAt(size_t index) const { return options_.entries + index; }
 
   void RunFor(absl::Duration duration);
+  /// Runs for `duration` and returns whether `check` held all the time.
+  bool HoldsFor(const std::function<bool()>& check, absl::Duration duration);
   /// Returns how long it took until `done`, at most `limit`.
   absl::Duration RunUntil(const std::function<bool()>& done,
                           absl::Duration limit);
 
-  void Start(size_t node);
+  /// Starts a new life, with `incarnation` if not 0, else with the time in ms.
+  void Start(size_t node, Incarnation incarnation = {});
+  /// Starts all nodes and runs until they know each other and `key`.
+  void StartAllAndSettle(const std::string& key, Revision revision);
   void Kill(size_t node);
   void Pause(size_t node) { nodes_[node].paused = true; }
   void Resume(size_t node);
+  /// The agent drains by itself, as on SIGTERM.
+  void Drain(size_t agent);
   /// Drops what `from` sends to `to`, without an error to the sender.
   void Cut(size_t from, size_t to) { cuts_.insert({from, to}); }
   void Mend() { cuts_.clear(); }
@@ -81,17 +91,21 @@
   /// Hands `actions` of `node` to the network and the fake drivers.
   void Perform(size_t node, EntryControlActions actions);
 
-  /// Whether every live entry (of `region`, if not empty) satisfies `check`.
+  /// Whether every live entry that is not paused (of `region`, if not empty)
+  /// satisfies `check`.
   bool AllEntries(const std::function<bool(const EntryControl&)>& check,
                   const std::string& region = "") const;
   /// Whether every live entry holds `uid` in `state`.
   bool AllSee(InstanceUid uid, InstanceState state) const;
   bool AllHold(const std::string& key, Revision revision) const;
+  InstanceUid UidOf(size_t node) const;
   size_t Watching() const;
   /// Times that a node put an older revision into force than before.
   size_t reversions() const { return reversions_; }
 
   Observer observer;
+  /// Called for each notice of an entry.
+  std::function<void(size_t node, const ControlNotice&)> on_notice;
 
  private:
   struct Event {
@@ -115,6 +129,9 @@
   void Send(size_t from, size_t to, Event::Kind kind, ControlMessage message);
   void SendTo(size_t from, Endpoint peer, ControlMessage message);
   void Handle(const Event& event);
+  /// Returns the result of `decide`, a call of the state machine of `node`.
+  template <typename Decide>
+  auto Meter(Node& node, const Decide& decide);
   void HandleTick(size_t node);
   void ReadPlatform(size_t node);
   void PerformAgent(size_t node, AgentControlActions actions);
