Try an outdated learned duration again

A kind that was slow once could have a learned duration above its deadline. Every later request was then refused early, so that no run corrected the duration. One in 16 requests that only the learned duration speaks against now runs on a free slot.

OutdatedDurationIsLearnedAgain fails without the rule and passes with it.

--- a/include/skylarkshunt/admission/admission_queue.h
+++ b/include/skylarkshunt/admission/admission_queue.h
@@ -78,6 +78,7 @@
     absl::Time started;
   };
 
+  bool MissesDeadline(absl::Time now, const WaitingRequest& request);
   size_t StragglerSlots() const;
   size_t RunningStragglers() const;
   absl::Duration WorkAhead(absl::Time now,
@@ -90,6 +91,7 @@
   const DurationModel& model_;
   const bool first_come_first_served_;
   size_t slots_ = 1;
+  uint64_t refusals_with_free_slot_ = 0;
   // At most capacity() and a few dozen, so scans are cheap.
   std::vector<WaitingRequest> waiting_;
   absl::flat_hash_map<RequestId, Running> running_;
--- a/lib/admission/admission_queue.cc
+++ b/lib/admission/admission_queue.cc
@@ -14,6 +14,10 @@
 /// With more slots than this, stragglers hold at most half of them.
 constexpr size_t kSlotsForHalfRule = 2;
 
+/// One of this many requests that only their learned duration would refuse runs
+/// nevertheless.
+constexpr uint64_t kRefusalsPerTrial = 16;
+
 }  // namespace
 
 AdmissionQueue::AdmissionQueue(const DurationModel& model,
@@ -28,13 +32,25 @@
   return std::max(kQueuedPerSlot * slots_, kSmallestQueue);
 }
 
+// When slots are free, only the learned duration speaks against the request.
+// It may be out of date, and a kind that never runs is never learned again.
+bool AdmissionQueue::MissesDeadline(absl::Time now,
+                                    const WaitingRequest& request) {
+  const absl::Time end =
+      ExpectedStart(now, request.kind) + model_.Expected(request.kind);
+  if (end <= request.deadline)
+    return false;
+  if (!HasFreeSlot(request.kind))
+    return true;
+  ++refusals_with_free_slot_;
+  return refusals_with_free_slot_ % kRefusalsPerTrial != 0;
+}
+
 AdmissionQueue::Admission AdmissionQueue::Offer(absl::Time now,
                                                 WaitingRequest request) {
   Admission admission;
-  const absl::Time end =
-      ExpectedStart(now, request.kind) + model_.Expected(request.kind);
   if (now >= request.deadline ||
-      (!first_come_first_served_ && end > request.deadline)) {
+      (!first_come_first_served_ && MissesDeadline(now, request))) {
     admission.verdict = Verdict::kMissesDeadline;
     return admission;
   }
--- a/unittests/admission/admission_queue_test.cc
+++ b/unittests/admission/admission_queue_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(StragglersLeaveSlotsFree);
   CPPUNIT_TEST(OneSlotStillRunsStragglers);
   CPPUNIT_TEST(RefusesWhatWouldMissItsDeadline);
+  CPPUNIT_TEST(OutdatedDurationIsLearnedAgain);
   CPPUNIT_TEST(ShedsLeastWorthWhenFull);
   CPPUNIT_TEST(ExpiredRequestsLeaveTheQueue);
   CPPUNIT_TEST(BaselineIsFirstComeFirstServed);
@@ -83,6 +84,25 @@
                    AdmissionQueue::Verdict::kQueued);
   }
 
+  // Guards against a kind that was slow once, is refused ever after and so is
+  // never seen to be fast again.
+  void OutdatedDurationIsLearnedAgain() {
+    AdmissionQueue queue(model_, false);
+    for (int run = 0; run < 100; ++run)
+      model_.Observe("pull", absl::Seconds(100));
+    size_t started = 0;
+    for (uint64_t id = 1; id <= 2'000; ++id) {
+      queue.Offer(kStart, Make(id, "pull", kStart));
+      if (!queue.Next(kStart).has_value())
+        continue;
+      ++started;
+      queue.OnRunEnded(Id(id));
+      model_.Observe("pull", absl::Milliseconds(100));
+    }
+    CPPUNIT_ASSERT(model_.Expected("pull") < absl::Seconds(1));
+    CPPUNIT_ASSERT(started > 1'000);
+  }
+
   void ShedsLeastWorthWhenFull() {
     AdmissionQueue queue(model_, false);
     Fill(queue, "pull");
