Check pauses in generated histories and say which bindings only refuse

The generator did not see a pause that went unnoticed, nor a request that ran under another incarnation than it was queued under; it checks both now. A bound message may go back to an earlier candidate from the first agent only, and the headers say what a binding with issued_ms 0 means.

--- a/include/skylarkshunt/base/ids.h
+++ b/include/skylarkshunt/base/ids.h
@@ -58,7 +58,8 @@
 struct Binding {
   InstanceUid target_uid{};
   Incarnation incarnation{};
-  /// Milliseconds on the clock of the agent that issued the binding.
+  /// Milliseconds on the clock of the agent that issued the binding; 0 in a
+  /// binding under which no agent runs anything.
   int64_t issued_ms = 0;
 
   friend bool operator==(const Binding& a, const Binding& b) {
--- a/include/skylarkshunt/edge/messages.h
+++ b/include/skylarkshunt/edge/messages.h
@@ -15,7 +15,9 @@
 enum class Outcome : uint8_t {
   kOk = 0,              ///< Ran; the answer is complete or comes in chunks.
   kNotRun = 1,          ///< Did not run and never will under this request id.
-  kBind = 2,            ///< Did not run; repeat under the binding given.
+  kBind = 2,            ///< Did not run; repeat under the binding given. With
+                        ///< a reason, that binding is for this request alone:
+                        ///< the repeat is refused, and truly so everywhere.
   kOutcomeUnknown = 3,  ///< May or may not have run; do not repeat.
   kAnswerGone = 4,      ///< Ran; the answer is no longer held.
   kTargetError = 5,     ///< Ran and failed at the target.
--- a/lib/flows/agent_answers.cc
+++ b/lib/flows/agent_answers.cc
@@ -44,6 +44,8 @@
     answer.retry_after_ms = RetryAfterMs(reason);
     Decide(Decision::kRequestRefused, id, flow, reason);
   }
+  if (outcome == Outcome::kBind && reason != Reason::kNone)
+    Decide(Decision::kRequestRefused, id, flow, reason);
   if (outcome == Outcome::kOutcomeUnknown) {
     ++stats_.outcome_unknown;
     Decide(Decision::kOutcomeUnknown, id, flow, reason);
--- a/lib/flows/agent_lifecycle.cc
+++ b/lib/flows/agent_lifecycle.cc
@@ -24,7 +24,6 @@
 // go on, and their results stay in the ledger.
 void AgentCoreImpl::TakeIncarnation(Incarnation incarnation) {
   bindings_.TakeIncarnation(incarnation);
-  bindings_.RevokeAll(now_);
   actions_.push_back(StateChanged{announced_, incarnation});
   Decide(Decision::kLeaseLapsed, {}, {}, Reason::kLeaseLapsed);
   for (const RequestId& id : queue_.TakeAll())
--- a/lib/flows/agent_passing.cc
+++ b/lib/flows/agent_passing.cc
@@ -26,13 +26,15 @@
 }
 
 // `only_onward` keeps messages whose binding may have run out from going back
-// and forth between the bound agent and the rest of the list.
+// and forth between the bound agent and the rest of the list; only the first
+// agent may send them back.
 bool AgentCoreImpl::PassToBound(const Forward& forward,
                                 const Binding& binding,
                                 bool only_onward) {
   if (binding.target_uid == options_.uid || IsLastStop(forward))
     return false;
-  const size_t first = only_onward ? size_t{forward.position} + 1 : 0;
+  const bool from_here = only_onward && forward.hops > 0;
+  const size_t first = from_here ? size_t{forward.position} + 1 : 0;
   for (size_t i = first; i < forward.candidates.size(); ++i) {
     if (forward.candidates[i].uid != binding.target_uid)
       continue;
--- a/lib/flows/request_ledger.cc
+++ b/lib/flows/request_ledger.cc
@@ -1,6 +1,7 @@
 #include "flows/request_ledger.h"
 
 #include <algorithm>
+#include <cassert>
 
 #include "flows/agent_limits.h"
 
@@ -25,6 +26,7 @@
 void RequestLedger::RemoveExpired(absl::Time now) {
   while (!by_age_.empty()) {
     const auto oldest = entries_.find(by_age_.front());
+    assert(oldest != entries_.end() && "a request was inserted twice");
     if (oldest->second.expires > now)
       return;
     entries_.erase(oldest);
--- a/unittests/flows/agent_test_support.cc
+++ b/unittests/flows/agent_test_support.cc
@@ -88,9 +88,11 @@
 Binding TestAgent::Bind(uint64_t flow) {
   Request request = MakeRequest(flow, kReport);
   request.flow_id = flow;
-  const Answer answer = OnlyAnswer(Send(request));
-  ExpectOutcome(answer, Outcome::kBind, Reason::kNone);
-  return answer.binding.value();
+  return Expect(Send(request), Outcome::kBind, Reason::kNone).binding.value();
+}
+
+RunId TestAgent::Start(const Request& request, size_t candidates) {
+  return OnlyStart(Send(request, candidates)).run;
 }
 
 AgentActions TestAgent::End(RunId run,
@@ -134,11 +136,14 @@
   return Only<SendForward>(actions);
 }
 
-void ExpectOutcome(const Answer& answer, Outcome outcome, Reason reason) {
+Answer Expect(const AgentActions& actions, Outcome outcome, Reason reason) {
+  CPPUNIT_ASSERT(Select<StartRun>(actions).empty());
+  Answer answer = OnlyAnswer(actions);
   CPPUNIT_ASSERT_EQUAL(static_cast<int>(outcome),
                        static_cast<int>(answer.outcome));
   CPPUNIT_ASSERT_EQUAL(static_cast<int>(reason),
                        static_cast<int>(answer.reason));
+  return answer;
 }
 
 }  // namespace skylarkshunt
--- a/unittests/flows/agent_test_support.h
+++ b/unittests/flows/agent_test_support.h
@@ -64,6 +64,8 @@
 
   /// Obtains a binding for `flow`; the request id used is `flow` too.
   Binding Bind(uint64_t flow);
+  /// Sends a request that must start at once, and returns its run.
+  RunId Start(const Request& request, size_t candidates = 1);
   /// Ends the run with an answer.
   AgentActions End(RunId run, absl::string_view body, uint16_t status = 200);
   AgentActions End(RunId run, RunResult::Kind kind);
@@ -87,8 +89,9 @@
 /// Returns the only message passed on in `actions`, likewise.
 SendForward OnlyForward(const AgentActions& actions);
 
-/// Fails the test when `answer` has another outcome or reason.
-void ExpectOutcome(const Answer& answer, Outcome outcome, Reason reason);
+/// Returns the only answer in `actions`; fails the test when it has another
+/// outcome or reason, or when a run starts.
+Answer Expect(const AgentActions& actions, Outcome outcome, Reason reason);
 
 }  // namespace skylarkshunt
 
--- a/unittests/flows/generator_world.h
+++ b/unittests/flows/generator_world.h
@@ -47,7 +47,9 @@
     Incarnation former{};
     absl::Duration clock_offset;
     absl::Time paused_until;
-    AgentStats last_stats;
+    absl::Time last_event;
+    /// The announced incarnation, as the actions so far say.
+    Incarnation announced{};
   };
   struct Call {
     Request request;
@@ -55,6 +57,8 @@
     bool settled = false;
     int runs = 0;
     bool refused = false;
+    /// Incarnation under which it was queued last.
+    Incarnation queued_under{};
   };
 
   // Scenario.
@@ -77,6 +81,8 @@
 
   // Agents.
   void Apply(size_t index, const AgentActions& actions);
+  void CheckPause(size_t index, const AgentActions& actions);
+  void OnDecision(size_t index, const AgentDecision& decision);
   void OnStart(size_t index, const StartRun& start);
   void OnReply(const Reply& reply);
   void EndRun(size_t index, uint64_t generation, const StartRun& start);
