Report an accepted apply as accepted when no entry can be asked

Change: the accepted revision is printed, the entry's error goes to standard error and the exit code is 6 (not in force in time).

--- a/lib/ctl/service_apply.cc
+++ b/lib/ctl/service_apply.cc
@@ -85,13 +85,32 @@
   return ExitCode::kConflict;
 }
 
-Result<ExitCode> WaitInForce(const Context& context,
-                             const std::string& service,
-                             Revision revision) {
-  BOOST_OUTCOME_TRY(report, AwaitInForce(context, service, revision,
-                                         *context.arguments.wait));
-  PrintReport(context, report);
-  return report.in_force() ? ExitCode::kOk : ExitCode::kNotInForce;
+void PrintApplied(const Context& context,
+                  const ServiceConfig& yours,
+                  Revision revision) {
+  PrintFields(context.environment.out, context.arguments.output,
+              {{"service", yours.name},
+               {"uid", ToHex(ToNumber(yours.uid))},
+               {"revision", absl::StrCat(ToNumber(revision))},
+               {"apply_id", yours.apply_id}});
+}
+
+/// Waits after an accepted apply. An entry that cannot be asked is reported as
+/// "not in force in time" and not as unavailable, since the change is in place.
+ExitCode WaitInForce(const Context& context,
+                     const ServiceConfig& yours,
+                     Revision revision) {
+  Result<InForceReport> report =
+      AwaitInForce(context, yours.name, revision, *context.arguments.wait);
+  if (!report.has_value()) {
+    PrintApplied(context, yours, revision);
+    PrintError(context.environment.err, context.arguments.output,
+               report.error());
+    return ExitCode::kNotInForce;
+  }
+  // The report carries the revision, so that JSON output stays one document.
+  PrintReport(context, report.value());
+  return report.value().in_force() ? ExitCode::kOk : ExitCode::kNotInForce;
 }
 
 }  // namespace
@@ -118,15 +137,9 @@
   }
   if (!written.has_value())
     return written.error();
-  // With --wait the report below carries the revision, and JSON output stays
-  // one document.
   if (context.arguments.wait.has_value())
-    return WaitInForce(context, name, written.value());
-  PrintFields(context.environment.out, context.arguments.output,
-              {{"service", name},
-               {"uid", ToHex(ToNumber(yours.uid))},
-               {"revision", absl::StrCat(ToNumber(written.value()))},
-               {"apply_id", yours.apply_id}});
+    return WaitInForce(context, yours, written.value());
+  PrintApplied(context, yours, written.value());
   return ExitCode::kOk;
 }
 
--- a/unittests/ctl/view_test.cc
+++ b/unittests/ctl/view_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST_SUITE(ViewTest);
   CPPUNIT_TEST(StatusCountsLiveInstancesOfTheService);
   CPPUNIT_TEST(ApplyWaitsUntilInForce);
+  CPPUNIT_TEST(AcceptedApplyIsNeverCalledUnavailable);
   CPPUNIT_TEST(AgentViews);
   CPPUNIT_TEST(DrainOfUnknownTargetIsRefused);
   CPPUNIT_TEST(DamagedStatusIsRejected);
@@ -80,6 +81,19 @@
     CPPUNIT_ASSERT(Contains(ctl.out(), "in_force: yes"));
   }
 
+  // Guards against "unavailable, nothing was changed" after a change.
+  void AcceptedApplyIsNeverCalledUnavailable() {
+    CtlHarness ctl;
+    // The server ends at once; nothing listens at its address any more.
+    const std::string silent =
+        AdminServer([](const std::string&) { return ""; }).address();
+    CPPUNIT_ASSERT(ctl.Run({"--entry", silent, "service", "apply",
+                            ctl.WriteAnswers(4), "--wait", "1"}) ==
+                   ExitCode::kNotInForce);
+    CPPUNIT_ASSERT(Contains(ctl.out(), "revision: 1"));
+    CPPUNIT_ASSERT(Contains(ctl.err(), "unavailable"));
+  }
+
   void AgentViews() {
     AdminServer agent([](const std::string&) {
       return std::string(R"({"self":{},"stats":{"queued":3},"flows":[
