Go on with the core of a service uid that comes back

An agent whose service was made again under another uid and then restored under the first would have started a second core for the first uid, which knows nothing of the requests that ran. It now resumes the core it has. A process test removes, makes again and restores a service over the platform and checks that a repeat does not run again.

--- a/lib/agent/control_loop.cc
+++ b/lib/agent/control_loop.cc
@@ -95,7 +95,7 @@
   }
   if (report_.applied != former.applied)
     Execute(parts_.control->OnApplied(now, report_.applied));
-  const bool healthy = !orders_.shutdown && !report_.shutdown_complete &&
+  const bool healthy = !shutdown_.load() && !report_.shutdown_complete &&
                        report_.state < InstanceState::kDraining;
   parts_.board.SetHealthy(healthy);
   if (!report_.shutdown_complete || ended_.load())
--- a/lib/agent/data_loop.cc
+++ b/lib/agent/data_loop.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/base/ids.h"
 #include "skylarkshunt/link/codec.h"
@@ -16,6 +17,12 @@
 /// Datagrams taken before other work is looked at.
 constexpr int kDatagramBatch = 64;
 
+Counter& OverflowCounter(CounterRegistry& counters, absl::string_view ring) {
+  return counters.Find("skylarkshunt_ring_overflows_total",
+                       "Pushes that found a ring full.", MetricType::kCounter,
+                       absl::StrCat("ring=\"", ring, "\""));
+}
+
 }  // namespace
 
 Result<std::unique_ptr<AgentDataLoop>> AgentDataLoop::Open(
@@ -44,10 +51,9 @@
       unserved_(options.counters->Find(
           "skylarkshunt_unserved_forwards_total",
           "Messages dropped before a configuration arrived.")),
-      runs_refused_(options.counters->Find("skylarkshunt_ring_overflows_total",
-                                           "Pushes that found a ring full.",
-                                           MetricType::kCounter,
-                                           "ring=\"target_runs\"")),
+      runs_refused_(OverflowCounter(*options.counters, "target_runs")),
+      orders_replaced_(OverflowCounter(*options.counters, "agent_orders")),
+      reports_replaced_(OverflowCounter(*options.counters, "agent_reports")),
       orders_(1, [this] { wakeup_.Notify(); }),
       reports_(1, options.on_report),
       pool_(options.target, [this] { wakeup_.Notify(); }),
@@ -68,6 +74,7 @@
 
 void AgentDataLoop::Order(AgentOrders orders) {
   orders_.PushReplacingOldest(std::move(orders));
+  orders_replaced_.Set(orders_.overflows());
 }
 
 void AgentDataLoop::Run() {
@@ -198,23 +205,42 @@
     }
     return;
   }
-  if (cores_.empty() || cores_.back().service != service.config.uid)
-    AddCore(service, incarnation);
-  if (cores_.empty())
+  const bool served =
+      !cores_.empty() && cores_.back().service == service.config.uid;
+  if (!served)
+    LeaveFormerService(service.revision);
+  if (!served && !ResumeCore(service.config.uid) &&
+      !AddCore(service, incarnation)) {
     return;
+  }
   Core& newest = cores_.back();
   pool_.SetWorkers(service.config.slots);
   Execute(newest, newest.core->OnConfig(now, service.revision, service.config));
 }
 
-void AgentDataLoop::AddCore(const ServiceOrder& service,
+void AgentDataLoop::LeaveFormerService(Revision revision) {
+  if (cores_.empty())
+    return;
+  Core& former = cores_.back();
+  former.superseded = BootNow();
+  Execute(former, former.core->OnServiceRemoved(BootNow(), revision));
+}
+
+/// A service whose former uid comes back goes on with its core: a second one
+/// would not know which requests have run.
+bool AgentDataLoop::ResumeCore(ServiceUid service) {
+  const auto it =
+      std::find_if(cores_.begin(), cores_.end(),
+                   [&](const Core& core) { return core.service == service; });
+  if (it == cores_.end())
+    return false;
+  it->superseded = absl::InfiniteFuture();
+  std::rotate(it, it + 1, cores_.end());
+  return true;
+}
+
+bool AgentDataLoop::AddCore(const ServiceOrder& service,
                             Incarnation incarnation) {
-  const absl::Time now = BootNow();
-  if (!cores_.empty()) {
-    Core& former = cores_.back();
-    former.superseded = now;
-    Execute(former, former.core->OnServiceRemoved(now, service.revision));
-  }
   AgentCore::Options options;
   options.service = service.config.uid;
   options.uid = MakeTargetUid(service.config.uid, options_.target.ToString());
@@ -226,7 +252,7 @@
     LogLine(kCoreEnded, Severity::kError)
         .Field("service", ToHex(ToNumber(service.config.uid)))
         .Field("error", core.error().ToString());
-    return;
+    return false;
   }
   cores_.push_back(Core{service.config.uid, std::move(core).value(),
                         absl::InfiniteFuture(), false});
@@ -234,6 +260,7 @@
       .Field("service", ToHex(ToNumber(service.config.uid)))
       .Field("uid", ToHex(ToNumber(options.uid)))
       .Field("incarnation", ToNumber(incarnation));
+  return true;
 }
 
 void AgentDataLoop::Execute(Core& core, const AgentActions& actions) {
@@ -294,6 +321,7 @@
     report.stats = newest.Stats();
   }
   reports_.PushReplacingOldest(report);
+  reports_replaced_.Set(reports_.overflows());
 }
 
 }  // namespace skylarkshunt
--- a/lib/agent/data_loop.h
+++ b/lib/agent/data_loop.h
@@ -103,7 +103,9 @@
   void RemoveFinishedCores();
   void ApplyOrders(const AgentOrders& orders);
   void ApplyService(const ServiceOrder& service, Incarnation incarnation);
-  void AddCore(const ServiceOrder& service, Incarnation incarnation);
+  void LeaveFormerService(Revision revision);
+  bool ResumeCore(ServiceUid service);
+  bool AddCore(const ServiceOrder& service, Incarnation incarnation);
   void Execute(Core& core, const AgentActions& actions);
   void Execute(Core& core, const AgentAction& action);
   void Send(Endpoint peer, const LinkMessage& message);
@@ -118,6 +120,8 @@
   Counter& unsent_;
   Counter& unserved_;
   Counter& runs_refused_;
+  Counter& orders_replaced_;
+  Counter& reports_replaced_;
   BoundedRing<AgentOrders> orders_;
   BoundedRing<AgentReport> reports_;
   /// The newest core is the last one.
--- a/lib/entry/data_plane.cc
+++ b/lib/entry/data_plane.cc
@@ -52,6 +52,11 @@
       unsent_(options.counters->Find(
           "skylarkshunt_unsent_datagrams_total",
           "Datagrams that were too large or that the kernel did not take.")),
+      snapshots_replaced_(
+          options.counters->Find("skylarkshunt_ring_overflows_total",
+                                 "Pushes that found a ring full.",
+                                 MetricType::kCounter,
+                                 "ring=\"routing_snapshots\"")),
       snapshots_(1, [this] { wakeup_.Notify(); }),
       last_traffic_ms_(absl::ToUnixMillis(BootNow())) {}
 
@@ -70,6 +75,7 @@
 void EntryDataPlane::UseSnapshot(
     std::shared_ptr<const RoutingSnapshot> snapshot) {
   snapshots_.PushReplacingOldest(std::move(snapshot));
+  snapshots_replaced_.Set(snapshots_.overflows());
 }
 
 absl::Duration EntryDataPlane::Quiet() const {
--- a/lib/entry/data_plane.h
+++ b/lib/entry/data_plane.h
@@ -69,6 +69,7 @@
   Counter& agent_malformed_;
   Counter& replies_;
   Counter& unsent_;
+  Counter& snapshots_replaced_;
   BoundedRing<std::shared_ptr<const RoutingSnapshot>> snapshots_;
   std::unique_ptr<Router> router_;
   std::atomic<int64_t> last_traffic_ms_;
--- a/unittests/daemon/daemon_path_test.cc
+++ b/unittests/daemon/daemon_path_test.cc
@@ -15,6 +15,9 @@
 namespace skylarkshunt {
 namespace {
 
+constexpr ServiceUid kFirstUid{0xa1};
+constexpr ServiceUid kSecondUid{0xa2};
+
 /// A target that counts its runs.
 class CountingTarget {
  public:
@@ -51,6 +54,7 @@
 class DaemonPathTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DaemonPathTest);
   CPPUNIT_TEST(RequestsRunAtTheTarget);
+  CPPUNIT_TEST(ServiceMadeAgainKeepsItsLedger);
   CPPUNIT_TEST(PeersReplaceAnUnreachablePlatform);
   CPPUNIT_TEST(EntriesOfOneDirectoryMeet);
   CPPUNIT_TEST_SUITE_END();
@@ -97,6 +101,34 @@
     CPPUNIT_ASSERT(WaitFor([&] { return entry.LogHas("state=leaving"); }));
   }
 
+  // A service is removed, made again under another uid, and restored under the
+  // first. Guards against an agent that forgets what the first uid has run or
+  // refuses new work for it.
+  void ServiceMadeAgainKeepsItsLedger() {
+    CountingTarget target;
+    Daemon entry(EntrySettings(platform()));
+    Daemon agent(AgentSettings(platform(), target.address()));
+    entry.AwaitReady();
+    agent.AwaitReady();
+    Revision revision = WriteService();
+    CPPUNIT_ASSERT(WaitFor([&] { return AgentServes(agent, kFirstUid); }));
+    Request report = MakeRequest("report", 5);
+    report.binding = Call(entry, report).binding;
+    CPPUNIT_ASSERT(Call(entry, report).outcome == Outcome::kOk);
+    CPPUNIT_ASSERT_EQUAL(1, target.runs());
+    RemoveService(revision);
+    revision = WriteService(kSecondUid);
+    CPPUNIT_ASSERT(WaitFor([&] { return AgentServes(agent, kSecondUid); }));
+    CPPUNIT_ASSERT(Call(entry, MakeRequest("pull", 6)).outcome == Outcome::kOk);
+    CPPUNIT_ASSERT_EQUAL(2, target.runs());
+    RemoveService(revision);
+    WriteService();
+    CPPUNIT_ASSERT(WaitFor([&] { return AgentServes(agent, kFirstUid); }));
+    CPPUNIT_ASSERT(Call(entry, report).outcome == Outcome::kOk);
+    CPPUNIT_ASSERT_EQUAL(2, target.runs());
+    CPPUNIT_ASSERT(Call(entry, MakeRequest("pull", 7)).outcome == Outcome::kOk);
+  }
+
   // Guards against an entry that needs the platform at its start.
   void PeersReplaceAnUnreachablePlatform() {
     WriteService();
@@ -133,9 +165,9 @@
  private:
   std::string platform() const { return platform_->address().ToString(); }
 
-  void WriteService() {
+  Revision WriteService(ServiceUid uid = kFirstUid) {
     ServiceConfig config;
-    config.uid = ServiceUid{0xa1};
+    config.uid = uid;
     config.name = "dispatch";
     config.apply_id = "1";
     config.kinds.push_back({"pull", 1, true, absl::Milliseconds(10)});
@@ -143,12 +175,25 @@
     config.slots = 2;
     config.data_centres = {"zh-a"};
     config.drain_limit = absl::Seconds(1);
-    auto client =
-        PlatformClient::Create({platform_->address(), absl::Seconds(10)});
-    CPPUNIT_ASSERT(
-        client.value()
-            ->Write("services/dispatch", WriteServiceConfig(config), Revision{})
-            .has_value());
+    return Client()
+        ->Write("services/dispatch", WriteServiceConfig(config), Revision{})
+        .value();
+  }
+
+  void RemoveService(Revision revision) {
+    CPPUNIT_ASSERT(Client()->Remove("services/dispatch", revision).has_value());
+  }
+
+  std::unique_ptr<PlatformClient> Client() const {
+    return PlatformClient::Create({platform_->address(), absl::Seconds(10)})
+        .value();
+  }
+
+  static bool AgentServes(const Daemon& agent, ServiceUid service) {
+    const nlohmann::json status = agent.Status();
+    return !status.is_null() &&
+           status["self"]["service"] == ToHex(ToNumber(service)) &&
+           status["self"]["state"] == "serving";
   }
 
   static Request MakeRequest(const std::string& kind, uint64_t number) {
