Tell a target's silence from a lost connection at the deadline

The read time-out was cut to whole milliseconds and so ended up to 1 ms before the deadline; the run then counted as a lost connection, which an idempotent request retries. Time-outs are now rounded up.

--- a/lib/agent/target_call.cc
+++ b/lib/agent/target_call.cc
@@ -21,9 +21,10 @@
   return text.substr(0, text.find(':'));
 }
 
+/// Rounds up, so that a time-out never comes before the deadline it stands for.
 std::chrono::milliseconds ToMs(absl::Duration duration) {
-  return std::max(absl::ToChronoMilliseconds(duration),
-                  std::chrono::milliseconds(1));
+  const absl::Duration step = absl::Milliseconds(1);
+  return absl::ToChronoMilliseconds(std::max(absl::Ceil(duration, step), step));
 }
 
 /// Each call has a connection of its own: on a kept one, a target that closes
