--- a/standins/caller/load_worker.cc
+++ b/standins/caller/load_worker.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/memory/memory.h"
+#include "absl/time/clock.h"
 #include "skylarkshunt/base/hash.h"
 #include "skylarkshunt/edge/codec.h"
 #include "skylarkshunt/net/poller.h"
@@ -15,6 +16,8 @@
 constexpr size_t kMaxPendingPerFlow = 16;
 // Flows start spread over this time, so that they do not all open at once.
 constexpr absl::Duration kOpeningSpread = absl::Milliseconds(500);
+constexpr uint32_t kClosesPerPause = 16;
+constexpr absl::Duration kClosePause = absl::Milliseconds(1);
 constexpr absl::Duration kLongestWait = absl::Milliseconds(50);
 constexpr absl::Duration kShortestReissueDelay = absl::Milliseconds(10);
 
@@ -104,8 +107,17 @@
     WaitReadable(fds_, absl::Ceil(wait, absl::Milliseconds(1)));
     ReadSockets();
   }
-  for (uint32_t i = 0; i < slots_.size(); ++i)
+  CloseAll();
+}
+
+void LoadWorker::CloseAll() {
+  for (uint32_t i = 0; i < slots_.size(); ++i) {
     EndFlow(i, /*open_next=*/false);
+    // A burst of all flows would overflow the socket buffers on the way, and
+    // no answer tells of a lost Close.
+    if (i % kClosesPerPause == kClosesPerPause - 1)
+      absl::SleepFor(kClosePause);
+  }
 }
 
 void LoadWorker::FireTimers(absl::Time now) {
--- a/standins/caller/load_worker.h
+++ b/standins/caller/load_worker.h
@@ -66,6 +66,7 @@
 
   void OpenFlow(Slot* slot);
   void EndFlow(uint32_t index, bool open_next);
+  void CloseAll();
   void ScheduleFirst(absl::Time now);
   void FireTimers(absl::Time now);
   void Fire(absl::Time now, const Timer& timer);
