--- a/include/skylarkshunt/edge/messages.h
+++ b/include/skylarkshunt/edge/messages.h
@@ -17,7 +17,9 @@
   /// Did not run and never will under this request id. Said only of requests
   /// for which that is proved: non-idempotent ones under a binding.
   kNotRun = 1,
-  kBind = 2,            ///< Did not run; repeat under the binding given.
+  /// Did not run; repeat under the binding given. With a reason, that is a
+  /// refusal binding for this request alone.
+  kBind = 2,
   kOutcomeUnknown = 3,  ///< May or may not have run; do not repeat.
   kAnswerGone = 4,      ///< Ran; the answer is no longer held.
   kTargetError = 5,     ///< Ran and failed at the target.
