--- a/tools/skylarkshunt-demo/deployment.cc
+++ b/standins/deployment/deployment.cc
@@ -1,4 +1,4 @@
-#include "deployment.h"
+#include "standins/deployment/deployment.h"
 
 #include <fstream>
 #include <nlohmann/json.hpp>
--- a/tools/skylarkshunt-demo/deployment.h
+++ b/standins/deployment/deployment.h
@@ -1,5 +1,5 @@
-#ifndef TOOLS_SKYLARKSHUNT_DEMO_DEPLOYMENT_H_
-#define TOOLS_SKYLARKSHUNT_DEMO_DEPLOYMENT_H_
+#ifndef STANDINS_DEPLOYMENT_DEPLOYMENT_H_
+#define STANDINS_DEPLOYMENT_DEPLOYMENT_H_
 
 #include <cstdint>
 #include <memory>
@@ -102,4 +102,4 @@
 
 }  // namespace skylarkshunt
 
-#endif  // TOOLS_SKYLARKSHUNT_DEMO_DEPLOYMENT_H_
+#endif  // STANDINS_DEPLOYMENT_DEPLOYMENT_H_
--- a/tools/skylarkshunt-demo/load.cc
+++ b/standins/deployment/load.cc
@@ -1,4 +1,4 @@
-#include "load.h"
+#include "standins/deployment/load.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/tools/skylarkshunt-demo/load.h
+++ b/standins/deployment/load.h
@@ -1,5 +1,5 @@
-#ifndef TOOLS_SKYLARKSHUNT_DEMO_LOAD_H_
-#define TOOLS_SKYLARKSHUNT_DEMO_LOAD_H_
+#ifndef STANDINS_DEPLOYMENT_LOAD_H_
+#define STANDINS_DEPLOYMENT_LOAD_H_
 
 #include <cstdint>
 #include <memory>
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "absl/time/time.h"
-#include "deployment.h"
 #include "skylarkshunt/base/endpoint.h"
 #include "skylarkshunt/base/error.h"
+#include "standins/deployment/deployment.h"
 
 namespace skylarkshunt {
 
@@ -71,4 +71,4 @@
 
 }  // namespace skylarkshunt
 
-#endif  // TOOLS_SKYLARKSHUNT_DEMO_LOAD_H_
+#endif  // STANDINS_DEPLOYMENT_LOAD_H_
--- a/tools/skylarkshunt-demo/verdict.cc
+++ b/standins/deployment/verdict.cc
@@ -1,4 +1,4 @@
-#include "verdict.h"
+#include "standins/deployment/verdict.h"
 
 #include <httplib.h>
 
--- a/tools/skylarkshunt-demo/verdict.h
+++ b/standins/deployment/verdict.h
@@ -1,5 +1,5 @@
-#ifndef TOOLS_SKYLARKSHUNT_DEMO_VERDICT_H_
-#define TOOLS_SKYLARKSHUNT_DEMO_VERDICT_H_
+#ifndef STANDINS_DEPLOYMENT_VERDICT_H_
+#define STANDINS_DEPLOYMENT_VERDICT_H_
 
 #include <cstdint>
 #include <string>
@@ -32,4 +32,4 @@
 
 }  // namespace skylarkshunt
 
-#endif  // TOOLS_SKYLARKSHUNT_DEMO_VERDICT_H_
+#endif  // STANDINS_DEPLOYMENT_VERDICT_H_
--- a/tools/skylarkshunt-demo/main.cc
+++ b/tools/skylarkshunt-demo/main.cc
@@ -13,10 +13,10 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/time/clock.h"
-#include "deployment.h"
-#include "load.h"
 #include "skylarkshunt/configuration/questionnaire.h"
-#include "verdict.h"
+#include "standins/deployment/deployment.h"
+#include "standins/deployment/load.h"
+#include "standins/deployment/verdict.h"
 
 namespace skylarkshunt {
 namespace {
