Answer repeats of a pending request, so that long runs are not started twice

Cause: a caller that heard nothing during a long run repeated it; from the fourth attempt on the entry takes the target for silent and moves the request, so stragglers ran again elsewhere, and the flow left behind kept the old agent from ending. Ruled out: the retry budget, which counts runs of one agent only.

--- a/include/skylarkshunt/edge/messages.h
+++ b/include/skylarkshunt/edge/messages.h
@@ -27,6 +27,9 @@
   /// reached another target, so this is no proof that it did not run; it may be
   /// repeated.
   kRefused = 6,
+  /// Queued or running; the answer follows. A caller that got it repeats rarely
+  /// and counts attempts anew, so that a slow target does not look silent.
+  kPending = 7,
 };
 
 /// Why a request was not answered with kOk.
@@ -64,7 +67,7 @@
   RequestId request_id;
   /// True until the flow's first answer has arrived.
   bool opening = false;
-  /// 1 for the first transmission.
+  /// 1 for the first transmission and for the first after a kPending answer.
   uint32_t attempt = 1;
   /// Time left until the caller gives up, in milliseconds.
   uint32_t deadline_ms = 0;
@@ -107,7 +110,8 @@
   Reason reason = Reason::kNone;
   /// HTTP status of the target, 0 where no target answered.
   uint16_t status = 0;
-  /// The flow's binding from now on, where it is new or renewed; with kBind the
+  /// The flow's binding from now on, where it is new or renewed (with kOk and
+  /// kPending, and of use for later requests too); with kBind the
   /// one to repeat the request under, which may be a refusal binding.
   absl::optional<Binding> binding;
   /// When a repeat or a new request makes sense, in milliseconds; 0: any time.
--- a/lib/edge/fields.cc
+++ b/lib/edge/fields.cc
@@ -185,7 +185,7 @@
   Answer answer;
   answer.request_id = ReadRequestId(reader);
   answer.outcome = static_cast<Outcome>(
-      reader.U64(static_cast<uint64_t>(Outcome::kRefused)));
+      reader.U64(static_cast<uint64_t>(Outcome::kPending)));
   answer.reason = static_cast<Reason>(
       reader.U64(static_cast<uint64_t>(Reason::kFlowLimit)));
   answer.status = static_cast<uint16_t>(reader.U64(kMaxStatus));
--- a/lib/edge/messages.cc
+++ b/lib/edge/messages.cc
@@ -18,6 +18,8 @@
       return "target_error";
     case Outcome::kRefused:
       return "refused";
+    case Outcome::kPending:
+      return "pending";
   }
   return "invalid";
 }
--- a/lib/flows/agent_core_impl.h
+++ b/lib/flows/agent_core_impl.h
@@ -147,6 +147,7 @@
              const Request& request,
              const KindConfig& kind);
   void Offer(std::unique_ptr<ActiveRequest> active);
+  void NotifyPending(const Forward& forward, const Request& request);
   static Forward WithTimeLeft(const ActiveRequest& active, absl::Time now);
   void Pump();
   void Start(ActiveRequest& active);
--- a/lib/flows/agent_requests.cc
+++ b/lib/flows/agent_requests.cc
@@ -31,6 +31,8 @@
     active->second->forward.caller = forward.caller;
     ++stats_.repeats;
     Decide(Decision::kRepeatIgnored, id, flow);
+    SendOutcome(forward, id, Outcome::kPending, Reason::kNone,
+                RenewedBinding(flow, request.binding));
     return true;
   }
   if (const StoredAnswer* answer = answers_.Find(id)) {
--- a/lib/flows/agent_runs.cc
+++ b/lib/flows/agent_runs.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr uint16_t kFirstServerErrorStatus = 500;
+/// Callers repeat after about 150 ms; a shorter run answers before that.
+constexpr absl::Duration kPendingNoticeAfter = absl::Milliseconds(100);
 
 }  // namespace
 
@@ -29,6 +31,24 @@
     return HandOverOrRefuse(*active, RefusalReason());
   retry_budget_.OnAccepted();
   Offer(std::move(active));
+  if (!request.binding.has_value())
+    NotifyPending(forward, request);
+}
+
+// Binds a new flow before a long run ends, so that repeats of the request come
+// here and do not start it at another target.
+void AgentCoreImpl::NotifyPending(const Forward& forward,
+                                  const Request& request) {
+  const auto found = active_.find(request.request_id);
+  if (found == active_.end())
+    return;
+  const ActiveRequest& active = *found->second;
+  const bool soon =
+      active.running && model_.Expected(request.kind) < kPendingNoticeAfter;
+  if (soon)
+    return;
+  SendOutcome(forward, request.request_id, Outcome::kPending, Reason::kNone,
+              RenewedBinding(active.flow, absl::nullopt));
 }
 
 void AgentCoreImpl::Offer(std::unique_ptr<ActiveRequest> active) {
--- a/standins/caller/caller_session.cc
+++ b/standins/caller/caller_session.cc
@@ -115,6 +115,7 @@
                                 CallerOutput* output) {
   Request& request = pending->request;
   ++request.attempt;
+  ++pending->transmissions;
   // A deadline of 0 ms would read as no time at all.
   request.deadline_ms = static_cast<uint32_t>(
       std::max<int64_t>(1, absl::ToInt64Milliseconds(pending->deadline - now)));
@@ -152,6 +153,8 @@
     return OnBind(now, answer, pending, output);
   if (answer.outcome == Outcome::kOk)
     return OnChunk(now, answer, pending, output);
+  if (answer.outcome == Outcome::kPending)
+    return OnPending(now, answer, pending);
   // Another agent may refuse a copy of a request that is being answered.
   const bool answered = pending->assembler.started();
   if (answered && answer.outcome != Outcome::kAnswerGone) {
@@ -210,6 +213,23 @@
   SendRequest(now, pending, output);
 }
 
+void CallerSession::OnPending(absl::Time now,
+                              const Answer& answer,
+                              Pending* pending) {
+  if (pending->assembler.started())
+    return;
+  accepted_ = true;
+  AdoptBinding(answer.binding);
+  Request& request = pending->request;
+  if (!request.binding && answer.binding) {
+    request.binding = answer.binding;
+    request.opening = false;
+  }
+  request.attempt = 0;
+  pending->timeout = kLongestTimeout;
+  pending->next_send = now + kLongestTimeout;
+}
+
 void CallerSession::OnChunk(absl::Time now,
                             const Answer& answer,
                             Pending* pending,
@@ -282,7 +302,7 @@
   finished.kind = pending->plan.kind;
   finished.flow_id = options_.flow_id;
   finished.waiting = now - pending->started;
-  finished.attempts = pending->request.attempt;
+  finished.attempts = pending->transmissions;
   const auto& holder =
       pending->answerer ? pending->answerer : pending->request.binding;
   if (holder)
--- a/standins/caller/caller_session.h
+++ b/standins/caller/caller_session.h
@@ -127,6 +127,7 @@
     /// Binding of the agent that holds the answer.
     absl::optional<Binding> answerer;
     int refusals = 0;
+    uint32_t transmissions = 0;
     /// Chunks that are on their way.
     ChunkRange window;
   };
@@ -139,6 +140,7 @@
               const Answer& answer,
               Pending* pending,
               CallerOutput* output);
+  void OnPending(absl::Time now, const Answer& answer, Pending* pending);
   void OnChunk(absl::Time now,
                const Answer& answer,
                Pending* pending,
