Report open flows and slots of agents

Cause: 'flow show' printed nothing and every agent's record had 0 slots, because neither value reached the status page. Change: AgentCore::Flows(), flows in the agent's report, slots taken from the service's record.

--- a/include/skylarkshunt/admin/status_board.h
+++ b/include/skylarkshunt/admin/status_board.h
@@ -34,6 +34,7 @@
   InstanceRecord self;
   std::string service_name;
   AgentStats stats;
+  std::vector<OpenFlow> flows;
 };
 
 using ProcessStatus = std::variant<EntryStatus, AgentStatus>;
--- a/include/skylarkshunt/flows/agent_core.h
+++ b/include/skylarkshunt/flows/agent_core.h
@@ -119,6 +119,15 @@
   uint64_t effective_slots = 0;
 };
 
+/// One open flow, for status.
+struct OpenFlow {
+  FlowKey key{};
+  /// As in Binding; 0 before the flow has a binding.
+  int64_t binding_issued_ms = 0;
+  /// Time since the flow's last message.
+  absl::Duration idle;
+};
+
 /// What an agent's policy does differently from the product's, for baselines of
 /// measurements only.
 struct AgentPolicy {
@@ -176,6 +185,8 @@
   virtual AgentActions BeginShutdown(absl::Time now) = 0;
 
   virtual AgentStats Stats() const = 0;
+  /// Returns up to `limit` open flows, the most recently used first.
+  virtual std::vector<OpenFlow> Flows(size_t limit) const = 0;
   virtual Incarnation incarnation() const = 0;
   virtual InstanceState state() const = 0;
 };
--- a/lib/admin/status_board.cc
+++ b/lib/admin/status_board.cc
@@ -73,10 +73,19 @@
               {"effective_slots", stats.effective_slots}};
 }
 
+json ToJson(const OpenFlow& flow) {
+  return json{{"flow", ToHex(ToNumber(flow.key))},
+              {"binding_issued_ms", flow.binding_issued_ms},
+              {"idle_ms", absl::ToInt64Milliseconds(flow.idle)}};
+}
+
 json ToJson(const AgentStatus& status) {
+  json flows = json::array();
+  for (const OpenFlow& flow : status.flows)
+    flows.push_back(ToJson(flow));
   return json{{"self", ToJson(status.self, status.service_name)},
               {"stats", ToJson(status.stats)},
-              {"flows", json::array()}};
+              {"flows", std::move(flows)}};
 }
 
 }  // namespace
--- a/lib/agent/control_loop.cc
+++ b/lib/agent/control_loop.cc
@@ -169,6 +169,7 @@
   status.self = parts_.control->self();
   status.service_name = parts_.service_name;
   status.stats = report_.stats;
+  status.flows = report_.flows;
   parts_.board.Publish(std::move(status));
   next_status_ = BootNow() + kAgentStatusInterval;
 }
--- a/lib/agent/data_loop.cc
+++ b/lib/agent/data_loop.cc
@@ -16,6 +16,8 @@
 
 /// Datagrams taken before other work is looked at.
 constexpr int kDatagramBatch = 64;
+/// Flows in one status report.
+constexpr size_t kMaxReportedFlows = 1000;
 
 Counter& OverflowCounter(CounterRegistry& counters, absl::string_view ring) {
   return counters.Find("skylarkshunt_ring_overflows_total",
@@ -319,8 +321,9 @@
     report.applied =
         applied_.service.has_value() ? applied_.service->revision : Revision{};
     report.stats = newest.Stats();
+    report.flows = newest.Flows(kMaxReportedFlows);
   }
-  reports_.PushReplacingOldest(report);
+  reports_.PushReplacingOldest(std::move(report));
   reports_replaced_.Set(reports_.overflows());
 }
 
--- a/lib/agent/data_loop.h
+++ b/lib/agent/data_loop.h
@@ -56,6 +56,8 @@
   Revision applied{};
   bool shutdown_complete = false;
   AgentStats stats;
+  /// At most kMaxReportedFlows.
+  std::vector<OpenFlow> flows;
 };
 
 /// The data thread of an agent: datagrams, the agent cores and the runs at the
--- a/lib/control/agent_control.cc
+++ b/lib/control/agent_control.cc
@@ -4,7 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "relay_links.h"
-#include "service_uid.h"
+#include "service_identity.h"
 #include "skylarkshunt/configuration/config_store.h"
 #include "skylarkshunt/control/timing.h"
 #include "skylarkshunt/membership/rendezvous.h"
@@ -242,12 +242,16 @@
     return;
   }
   service_record_ = record;
-  const absl::optional<ServiceUid> uid = FindServiceUid(record);
-  if (uid && *uid != self_.service) {
+  const absl::optional<ServiceIdentity> identity = FindServiceIdentity(record);
+  if (identity && identity->slots != self_.slots) {
+    self_.slots = identity->slots;
+    ++self_.sequence;
+  }
+  if (identity && identity->uid != self_.service) {
     // A new service under the old name: another target, which no drain order
     // or report of the old one concerns.
-    self_.service = *uid;
-    self_.uid = MakeTargetUid(*uid, self_.target.ToString());
+    self_.service = identity->uid;
+    self_.uid = MakeTargetUid(identity->uid, self_.target.ToString());
     if (self_.state != InstanceState::kLeaving)
       self_.state = InstanceState::kServing;
     drain_record_ = {};
--- a/lib/flows/agent_core.cc
+++ b/lib/flows/agent_core.cc
@@ -134,6 +134,10 @@
   actions_.push_back(AgentDecision{kind, id, flow, reason, other, Load()});
 }
 
+std::vector<OpenFlow> AgentCoreImpl::Flows(size_t limit) const {
+  return flows_.MostRecent(now_, limit);
+}
+
 AgentStats AgentCoreImpl::Stats() const {
   AgentStats stats = stats_;
   stats.flows = flows_.size();
--- a/lib/flows/agent_core_impl.h
+++ b/lib/flows/agent_core_impl.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
@@ -60,6 +61,7 @@
   AgentActions BeginShutdown(absl::Time now) override;
 
   AgentStats Stats() const override;
+  std::vector<OpenFlow> Flows(size_t limit) const override;
   Incarnation incarnation() const override { return bindings_.incarnation(); }
   InstanceState state() const override { return announced_; }
 
--- a/lib/flows/flow_table.cc
+++ b/lib/flows/flow_table.cc
@@ -1,5 +1,6 @@
 #include "flows/flow_table.h"
 
+#include <algorithm>
 #include <iterator>
 
 #include "flows/agent_limits.h"
@@ -37,6 +38,20 @@
   flows_.erase(found);
 }
 
+std::vector<OpenFlow> FlowTable::MostRecent(absl::Time now,
+                                            size_t limit) const {
+  std::vector<OpenFlow> recent;
+  recent.reserve(std::min(limit, size()));
+  for (const Flows* flows : {&used_, &unused_}) {
+    for (auto it = flows->rbegin();
+         it != flows->rend() && recent.size() < limit; ++it) {
+      recent.push_back(
+          OpenFlow{it->key, it->binding.issued_ms, now - it->last_message});
+    }
+  }
+  return recent;
+}
+
 void FlowTable::RemoveIdle(absl::Time now) {
   RemoveIdle(now, kFlowIdleLimit, used_);
   RemoveIdle(now, kUnusedFlowIdleLimit, unused_);
--- a/lib/flows/flow_table.h
+++ b/lib/flows/flow_table.h
@@ -3,11 +3,13 @@
 
 #include <cstddef>
 #include <list>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "skylarkshunt/base/ids.h"
+#include "skylarkshunt/flows/agent_core.h"
 
 namespace skylarkshunt {
 
@@ -38,6 +40,9 @@
   /// Removes flows that were idle for kFlowIdleLimit, or kUnusedFlowIdleLimit.
   void RemoveIdle(absl::Time now);
 
+  /// Returns up to `limit` flows, used ones first, each most recent first.
+  std::vector<OpenFlow> MostRecent(absl::Time now, size_t limit) const;
+
   bool full() const { return flows_.size() >= capacity_; }
   size_t size() const { return flows_.size(); }
 
