--- a/lib/agent/data_loop.cc
+++ b/lib/agent/data_loop.cc
@@ -56,6 +56,7 @@
       runs_refused_(OverflowCounter(*options.counters, "target_runs")),
       orders_replaced_(OverflowCounter(*options.counters, "agent_orders")),
       reports_replaced_(OverflowCounter(*options.counters, "agent_reports")),
+      metrics_(*options.counters),
       orders_(1, [this] { wakeup_.Notify(); }),
       reports_(1, options.on_report),
       pool_(options.target, [this] { wakeup_.Notify(); }),
@@ -322,6 +323,7 @@
         applied_.service.has_value() ? applied_.service->revision : Revision{};
     report.stats = newest.Stats();
     report.flows = newest.Flows(kMaxReportedFlows);
+    metrics_.Set(report.stats);
   }
   reports_.PushReplacingOldest(std::move(report));
   reports_replaced_.Set(reports_.overflows());
--- a/lib/agent/data_loop.h
+++ b/lib/agent/data_loop.h
@@ -9,6 +9,7 @@
 
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "agent_metrics.h"
 #include "decision_log.h"
 #include "health_loop.h"
 #include "skylarkshunt/base/bounded_ring.h"
@@ -124,6 +125,7 @@
   Counter& runs_refused_;
   Counter& orders_replaced_;
   Counter& reports_replaced_;
+  AgentMetrics metrics_;
   BoundedRing<AgentOrders> orders_;
   BoundedRing<AgentReport> reports_;
   /// The newest core is the last one.
