--- a/lib/agent/control_loop.cc
+++ b/lib/agent/control_loop.cc
@@ -14,21 +14,14 @@
 
 }  // namespace
 
-AgentControlLoop::AgentControlLoop(Parts parts) : parts_(std::move(parts)) {
+AgentControlLoop::AgentControlLoop(Parts parts)
+    : parts_(std::move(parts)), thread_(parts_.wakeup) {
   orders_.incarnation = parts_.control->self().incarnation;
 }
 
-AgentControlLoop::~AgentControlLoop() {
-  if (!thread_.joinable())
-    return;
-  stop_.store(true);
-  parts_.wakeup.Notify();
-  thread_.join();
-}
-
 void AgentControlLoop::Start() {
   PublishStatus();
-  thread_ = std::thread([this] { Run(); });
+  thread_.Start([this] { Step(); });
 }
 
 void AgentControlLoop::BeginShutdown() {
@@ -36,11 +29,6 @@
   parts_.wakeup.Notify();
 }
 
-void AgentControlLoop::Run() {
-  while (!stop_.load())
-    Step();
-}
-
 void AgentControlLoop::Step() {
   const absl::Duration wait = next_tick_ - BootNow();
   WaitReadable({parts_.wakeup.fd()},
--- a/lib/agent/control_loop.h
+++ b/lib/agent/control_loop.h
@@ -4,13 +4,13 @@
 #include <atomic>
 #include <memory>
 #include <string>
-#include <thread>
 
 #include "absl/time/time.h"
 #include "data_loop.h"
 #include "directory_reader.h"
 #include "skylarkshunt/admin/status_board.h"
 #include "skylarkshunt/control/agent_control.h"
+#include "skylarkshunt/net/loop_thread.h"
 #include "skylarkshunt/net/poller.h"
 #include "skylarkshunt/transport/control_transport.h"
 
@@ -35,7 +35,6 @@
   };
 
   explicit AgentControlLoop(Parts parts);
-  ~AgentControlLoop();
 
   void Start();
   /// Begins the drain before the end. Thread-safe.
@@ -44,7 +43,6 @@
   bool ended() const { return ended_.load(); }
 
  private:
-  void Run();
   void Step();
   void TakeTransportEvents();
   void TakeReport();
@@ -62,8 +60,7 @@
   absl::Time next_status_ = absl::InfinitePast();
   std::atomic<bool> shutdown_{false};
   std::atomic<bool> ended_{false};
-  std::atomic<bool> stop_{false};
-  std::thread thread_;
+  LoopThread thread_;
 };
 
 }  // namespace skylarkshunt
--- a/lib/agent/data_loop.cc
+++ b/lib/agent/data_loop.cc
@@ -60,19 +60,12 @@
       orders_(1, [this] { wakeup_.Notify(); }),
       reports_(1, options.on_report),
       pool_(options.target, [this] { wakeup_.Notify(); }),
-      health_(options.target, [this] { wakeup_.Notify(); }) {}
-
-AgentDataLoop::~AgentDataLoop() {
-  if (!thread_.joinable())
-    return;
-  stop_.store(true);
-  wakeup_.Notify();
-  thread_.join();
-}
+      health_(options.target, [this] { wakeup_.Notify(); }),
+      thread_(wakeup_) {}
 
 void AgentDataLoop::Start() {
   health_.Start();
-  thread_ = std::thread([this] { Run(); });
+  thread_.Start([this] { Step(); });
 }
 
 void AgentDataLoop::Order(AgentOrders orders) {
@@ -80,11 +73,6 @@
   orders_replaced_.Set(orders_.overflows());
 }
 
-void AgentDataLoop::Run() {
-  while (!stop_.load())
-    Step();
-}
-
 void AgentDataLoop::Step() {
   const absl::Duration wait = next_tick_ - BootNow();
   WaitReadable({socket_.fd(), wakeup_.fd()},
--- a/lib/agent/data_loop.h
+++ b/lib/agent/data_loop.h
@@ -4,7 +4,6 @@
 #include <atomic>
 #include <functional>
 #include <memory>
-#include <thread>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -17,6 +16,7 @@
 #include "skylarkshunt/base/error.h"
 #include "skylarkshunt/configuration/service_config.h"
 #include "skylarkshunt/flows/agent_core.h"
+#include "skylarkshunt/net/loop_thread.h"
 #include "skylarkshunt/net/poller.h"
 #include "skylarkshunt/net/udp_socket.h"
 #include "target_pool.h"
@@ -78,7 +78,6 @@
 
   /// Opens the socket. Errors: kAddressInUse, kSystem.
   static Result<std::unique_ptr<AgentDataLoop>> Open(const Options& options);
-  ~AgentDataLoop();
 
   void Start();
   Endpoint local() const { return socket_.local(); }
@@ -96,7 +95,6 @@
 
   AgentDataLoop(const Options& options, UdpSocket socket, Wakeup wakeup);
 
-  void Run();
   void Step();
   void ReceiveDatagrams();
   void OnForward(const Forward& forward);
@@ -134,10 +132,9 @@
   bool report_changed_ = false;
   absl::Time next_tick_ = absl::InfinitePast();
   absl::Time next_report_ = absl::InfinitePast();
-  std::atomic<bool> stop_{false};
   TargetPool pool_;
   HealthLoop health_;
-  std::thread thread_;
+  LoopThread thread_;
 };
 
 }  // namespace skylarkshunt
--- a/lib/entry/control_loop.cc
+++ b/lib/entry/control_loop.cc
@@ -30,19 +30,12 @@
                      "Targets in the routing snapshot.")),
       records_(Gauge(parts_.counters,
                      "skylarkshunt_instances",
-                     "Records of instances known.")) {}
-
-EntryControlLoop::~EntryControlLoop() {
-  if (!thread_.joinable())
-    return;
-  stop_.store(true);
-  parts_.wakeup.Notify();
-  thread_.join();
-}
+                     "Records of instances known.")),
+      thread_(parts_.wakeup) {}
 
 void EntryControlLoop::Start() {
   PublishStatus();
-  thread_ = std::thread([this] { Run(); });
+  thread_.Start([this] { Step(); });
 }
 
 void EntryControlLoop::BeginShutdown() {
@@ -50,11 +43,6 @@
   parts_.wakeup.Notify();
 }
 
-void EntryControlLoop::Run() {
-  while (!stop_.load())
-    Step();
-}
-
 void EntryControlLoop::Step() {
   const absl::Duration wait = next_tick_ - BootNow();
   WaitReadable({parts_.wakeup.fd()},
--- a/lib/entry/control_loop.h
+++ b/lib/entry/control_loop.h
@@ -4,7 +4,6 @@
 #include <atomic>
 #include <memory>
 #include <string>
-#include <thread>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -13,6 +12,7 @@
 #include "skylarkshunt/admin/status_board.h"
 #include "skylarkshunt/base/counters.h"
 #include "skylarkshunt/control/entry_control.h"
+#include "skylarkshunt/net/loop_thread.h"
 #include "skylarkshunt/net/poller.h"
 #include "skylarkshunt/transport/control_transport.h"
 
@@ -39,14 +39,12 @@
   };
 
   explicit EntryControlLoop(Parts parts);
-  ~EntryControlLoop();
 
   void Start();
   /// Announces that the entry leaves. Thread-safe.
   void BeginShutdown();
 
  private:
-  void Run();
   void Step();
   void TakeTransportEvents();
   void TakePlatformEvents();
@@ -76,8 +74,7 @@
   absl::Time next_build_ = absl::InfinitePast();
   absl::Time next_status_ = absl::InfinitePast();
   std::atomic<bool> shutdown_{false};
-  std::atomic<bool> stop_{false};
-  std::thread thread_;
+  LoopThread thread_;
 };
 
 }  // namespace skylarkshunt
--- a/lib/entry/data_plane.cc
+++ b/lib/entry/data_plane.cc
@@ -58,18 +58,11 @@
                                  MetricType::kCounter,
                                  "ring=\"routing_snapshots\"")),
       snapshots_(1, [this] { wakeup_.Notify(); }),
-      last_traffic_ms_(absl::ToUnixMillis(BootNow())) {}
-
-EntryDataPlane::~EntryDataPlane() {
-  if (!thread_.joinable())
-    return;
-  stop_.store(true);
-  wakeup_.Notify();
-  thread_.join();
-}
+      last_traffic_ms_(absl::ToUnixMillis(BootNow())),
+      thread_(wakeup_) {}
 
 void EntryDataPlane::Start() {
-  thread_ = std::thread([this] { Run(); });
+  thread_.Start([this] { Step(); });
 }
 
 void EntryDataPlane::UseSnapshot(
@@ -82,25 +75,23 @@
   return BootNow() - absl::FromUnixMillis(last_traffic_ms_.load());
 }
 
-void EntryDataPlane::Run() {
-  while (!stop_.load()) {
-    WaitReadable({callers_.fd(), agents_.fd(), wakeup_.fd()}, kDataWait);
-    wakeup_.Drain();
-    if (auto snapshot = snapshots_.TryPop())
-      router_->UseSnapshot(*std::move(snapshot));
-    const absl::Time now = BootNow();
-    for (int i = 0; i < kDatagramBatch; ++i) {
-      const absl::optional<Datagram> datagram = callers_.Receive();
-      if (!datagram.has_value())
-        break;
-      OnCallerDatagram(now, *datagram);
-    }
-    for (int i = 0; i < kDatagramBatch; ++i) {
-      const absl::optional<Datagram> datagram = agents_.Receive();
-      if (!datagram.has_value())
-        break;
-      OnAgentDatagram(now, *datagram);
-    }
+void EntryDataPlane::Step() {
+  WaitReadable({callers_.fd(), agents_.fd(), wakeup_.fd()}, kDataWait);
+  wakeup_.Drain();
+  if (auto snapshot = snapshots_.TryPop())
+    router_->UseSnapshot(*std::move(snapshot));
+  const absl::Time now = BootNow();
+  for (int i = 0; i < kDatagramBatch; ++i) {
+    const absl::optional<Datagram> datagram = callers_.Receive();
+    if (!datagram.has_value())
+      break;
+    OnCallerDatagram(now, *datagram);
+  }
+  for (int i = 0; i < kDatagramBatch; ++i) {
+    const absl::optional<Datagram> datagram = agents_.Receive();
+    if (!datagram.has_value())
+      break;
+    OnAgentDatagram(now, *datagram);
   }
 }
 
--- a/lib/entry/data_plane.h
+++ b/lib/entry/data_plane.h
@@ -3,13 +3,13 @@
 
 #include <atomic>
 #include <memory>
-#include <thread>
 
 #include "absl/time/time.h"
 #include "route_log.h"
 #include "skylarkshunt/base/bounded_ring.h"
 #include "skylarkshunt/base/counters.h"
 #include "skylarkshunt/base/error.h"
+#include "skylarkshunt/net/loop_thread.h"
 #include "skylarkshunt/net/poller.h"
 #include "skylarkshunt/net/udp_socket.h"
 #include "skylarkshunt/placement/router.h"
@@ -36,7 +36,6 @@
 
   /// Opens both sockets. Errors: kAddressInUse, kSystem.
   static Result<std::unique_ptr<EntryDataPlane>> Open(const Options& options);
-  ~EntryDataPlane();
 
   /// Starts the thread.
   void Start();
@@ -53,7 +52,7 @@
                  UdpSocket agents,
                  Wakeup wakeup);
 
-  void Run();
+  void Step();
   void OnCallerDatagram(absl::Time now, const Datagram& datagram);
   void OnAgentDatagram(absl::Time now, const Datagram& datagram);
   void Execute(const RouteAction& action);
@@ -73,8 +72,7 @@
   BoundedRing<std::shared_ptr<const RoutingSnapshot>> snapshots_;
   std::unique_ptr<Router> router_;
   std::atomic<int64_t> last_traffic_ms_;
-  std::atomic<bool> stop_{false};
-  std::thread thread_;
+  LoopThread thread_;
 };
 
 }  // namespace skylarkshunt
