--- a/tools/skylarkshunt-bench/main.cc
+++ b/tools/skylarkshunt-bench/main.cc
@@ -24,6 +24,7 @@
 
 struct Options {
   int targets = 10;
+  int services = 1;
   int repeats = 5;
   int packets = 200000;
 };
@@ -34,14 +35,25 @@
   asm volatile("" : : "g"(&value) : "memory");
 }
 
-std::vector<InstanceRecord> MakeAgents(int count) {
-  std::vector<InstanceRecord> records(static_cast<size_t>(count));
+ServiceUid ServiceAt(size_t index) {
+  return ServiceUid{ToNumber(kService) + index};
+}
+
+/// Service 0 has the name that the requests carry.
+std::string ServiceName(size_t index) {
+  return index == 0 ? "dispatch" : absl::StrCat("dispatch-", index);
+}
+
+/// The agents take the services in turn.
+std::vector<InstanceRecord> MakeAgents(const Options& options) {
+  std::vector<InstanceRecord> records(static_cast<size_t>(options.targets));
+  const auto services = static_cast<size_t>(options.services);
   for (size_t i = 0; i < records.size(); ++i) {
     InstanceRecord& record = records[i];
     record.role = Role::kAgent;
-    record.service = kService;
+    record.service = ServiceAt(i % services);
     record.data = Endpoint{0x7f000100u + static_cast<uint32_t>(i), 7000};
-    record.uid = MakeTargetUid(kService, record.data.ToString());
+    record.uid = MakeTargetUid(record.service, record.data.ToString());
     record.incarnation = Incarnation{1};
     record.region = "ch-nord";
     record.data_centre = "zh-a";
@@ -49,17 +61,24 @@
   return records;
 }
 
-ConfigRecord MakeConfig() {
+ConfigRecord MakeConfigOf(size_t index) {
   ServiceConfig config;
-  config.uid = kService;
-  config.name = "dispatch";
+  config.uid = ServiceAt(index);
+  config.name = ServiceName(index);
   config.apply_id = "bench";
   config.data_centres = {"zh-a"};
   KindConfig kind;
   kind.name = "post_report";
   config.kinds = {kind};
-  return ConfigRecord{"services/dispatch", Revision{1}, false,
-                      WriteServiceConfig(config)};
+  return ConfigRecord{absl::StrCat("services/", config.name), Revision{1},
+                      false, WriteServiceConfig(config)};
+}
+
+std::vector<ConfigRecord> MakeConfig(const Options& options) {
+  std::vector<ConfigRecord> records;
+  for (size_t i = 0; i < static_cast<size_t>(options.services); ++i)
+    records.push_back(MakeConfigOf(i));
+  return records;
 }
 
 /// Runs `work` for each packet number and returns nanoseconds and allocations
@@ -85,10 +104,11 @@
 class Bench {
  public:
   explicit Bench(const Options& options)
-      : options_(options), agents_(MakeAgents(options.targets)) {
+      : options_(options),
+        agents_(MakeAgents(options)),
+        config_(MakeConfig(options)) {
     const uint64_t before = AllocatedBytes();
-    snapshot_ =
-        RoutingSnapshot::Build("ch-nord", agents_, {MakeConfig()}, nullptr);
+    snapshot_ = RoutingSnapshot::Build("ch-nord", agents_, config_, nullptr);
     snapshot_bytes_ = AllocatedBytes() - before;
     Router::Options router_options;
     router_options.incarnation = Incarnation{1};
@@ -123,8 +143,7 @@
     });
     const Cost rebuild = Measure(20, [&](uint64_t i) {
       agents_[0].incarnation = Incarnation{2 + i};
-      KeepValue(RoutingSnapshot::Build("ch-nord", agents_, {MakeConfig()},
-                                       snapshot_));
+      KeepValue(RoutingSnapshot::Build("ch-nord", agents_, config_, snapshot_));
     });
     Print(hashing, placement, path, rebuild);
   }
@@ -132,6 +151,8 @@
  private:
   void MakeRequests() {
     constexpr uint64_t kFlows = 4096;
+    // The agents of service 0 are this far apart.
+    const auto step = static_cast<size_t>(options_.services);
     for (uint64_t i = 0; i < kFlows; ++i) {
       Request request;
       request.service = "dispatch";
@@ -140,7 +161,8 @@
       request.request_id = {i, i};
       request.deadline_ms = 1000;
       request.binding =
-          Binding{agents_[i % agents_.size()].uid, Incarnation{1}, 1};
+          Binding{agents_[i * step % (agents_.size() / step * step)].uid,
+                  Incarnation{1}, 1};
       request.body = std::string(200, 'x');
       datagrams_.push_back(EncodeCallerMessage(request).value());
       requests_.push_back(std::move(request));
@@ -153,6 +175,7 @@
              const Cost& rebuild) const {
     std::cout << absl::StrCat(
                      "{\"targets\":", options_.targets,
+                     ",\"services\":", options_.services,
                      ",\"hash_ns\":", hashing.nanoseconds,
                      ",\"placement_ns\":", placement.nanoseconds,
                      ",\"placement_over_hash\":",
@@ -167,6 +190,7 @@
 
   const Options options_;
   std::vector<InstanceRecord> agents_;
+  std::vector<ConfigRecord> config_;
   std::shared_ptr<const RoutingSnapshot> snapshot_;
   uint64_t snapshot_bytes_ = 0;
   std::unique_ptr<Router> router_;
@@ -182,7 +206,9 @@
       "hashing, of placement, and of decode + placement + encode.\nOptions");
   description.add_options()("help", "show this text")(
       "targets", po::value(&options.targets)->default_value(10),
-      "targets of the service")(
+      "targets of all services")(
+      "services", po::value(&options.services)->default_value(1),
+      "services, which share the targets evenly; service 0 is measured")(
       "repeats", po::value(&options.repeats)->default_value(5), "repeats")(
       "packets", po::value(&options.packets)->default_value(200000),
       "packets per repeat");
@@ -198,8 +224,10 @@
     std::cout << description;
     return 0;
   }
-  if (options.targets < 1 || options.packets < 100) {
-    std::cerr << "--targets needs 1 or more, --packets 100 or more\n";
+  if (options.services < 1 || options.targets < options.services ||
+      options.packets < 100) {
+    std::cerr << "--services needs 1 or more, --targets at least as many, "
+                 "--packets 100 or more\n";
     return 2;
   }
   for (int i = 0; i < options.repeats; ++i)
