Measure cold start and the return of a region in skylarkshunt-measure-control

The program began to count after the fleet had settled, so the two bursts that exceed a node's share of control traffic were visible in no figure.

--- a/tools/measure_control/main.cc
+++ b/tools/measure_control/main.cc
@@ -42,6 +42,8 @@
 using nlohmann::json;
 
 constexpr absl::Duration kSettle = absl::Seconds(120);
+/// Seconds of the phases that follow a cold start or the return of a region.
+constexpr double kBurstSeconds = 30;
 constexpr absl::Duration kSpreadLimit = absl::Seconds(60);
 
 /// Encoded bytes of one node.
@@ -214,6 +216,23 @@
            static_cast<double>(bytes) / static_cast<double>(records)}};
 }
 
+/// Prints the traffic of the next periods, in which a disturbance settles.
+void MeasureBursts(Fleet& fleet, Meter& meter, const std::string& phase) {
+  for (int i = 0; i < 4; ++i) {
+    meter.Reset();
+    fleet.RunFor(absl::Seconds(kBurstSeconds));
+    std::cout << meter.Report(phase, kBurstSeconds) << std::endl;
+  }
+}
+
+/// Parts the regions for `seconds` and prints the traffic after their return.
+void MeasureRegionReturn(Fleet& fleet, Meter& meter, double seconds) {
+  fleet.CutRegions(true);
+  fleet.RunFor(absl::Seconds(seconds));
+  fleet.CutRegions(false);
+  MeasureBursts(fleet, meter, "region_return");
+}
+
 int Run(const options::variables_map& values) {
   Fleet::Options fleet_options;
   fleet_options.entries = values["entries"].as<size_t>();
@@ -241,6 +260,7 @@
     PutService(fleet, i, 0);
   for (size_t i = 0; i < fleet.nodes().size(); ++i)
     fleet.Start(i);
+  MeasureBursts(fleet, meter, "cold_start");
   fleet.RunFor(kSettle);
   meter.Reset();
   fleet.RunFor(absl::Seconds(seconds));
@@ -259,6 +279,9 @@
   fleet.RunFor(kSettle);
   std::cout << MeasureSpread(fleet, values["repeats"].as<size_t>())
             << std::endl;
+  const double parted = values["region-cut"].as<double>();
+  if (parted > 0)
+    MeasureRegionReturn(fleet, meter, parted);
   std::cout << MeasureMemory(fleet.nodes()[0].self, fleet.nodes().size())
             << std::endl;
   return EXIT_SUCCESS;
@@ -278,6 +301,8 @@
       "configuration changes per second in the phase with changes")(
       "repeats", options::value<size_t>()->default_value(3),
       "changes and deaths whose spreading is timed")(
+      "region-cut", options::value<double>()->default_value(0),
+      "simulated seconds that the regions are apart; 0 leaves this out")(
       "stride", options::value<size_t>()->default_value(1),
       "encode the messages of every such node only");
   options::variables_map values;
