Count every refusal that a caller receives in the replay

An idempotent request is refused up to four times before it ends, and only the last refusal was counted, so the crest looked calmer than it was. Also reserves a vector that clang-tidy named.

--- a/tools/skylarkshunt-replay/figures.cc
+++ b/tools/skylarkshunt-replay/figures.cc
@@ -148,6 +148,7 @@
     waiting[second].Record(WaitingUs(r));
   }
   std::vector<SecondFigures> seconds;
+  seconds.reserve(waiting.size());
   for (const Histogram& h : waiting)
     seconds.push_back(
         {static_cast<double>(h.count()), Ms(h, 0.5), Ms(h, 0.99)});
--- a/tools/skylarkshunt-replay/figures.h
+++ b/tools/skylarkshunt-replay/figures.h
@@ -38,6 +38,7 @@
   uint64_t acknowledged_unrun = 0;
   uint64_t falsely_refused = 0;
   uint64_t wrong_answers = 0;
+  /// Refusals that callers received, by reason; a request may have several.
   std::map<std::string, uint64_t> refusals;
   /// Seconds of run time served by each target that no event of the trace
   /// concerned; others serve less for a reason.
--- a/tools/skylarkshunt-replay/traffic.cc
+++ b/tools/skylarkshunt-replay/traffic.cc
@@ -93,6 +93,10 @@
 }
 
 void ReplayDriver::DeliverToCaller(size_t flow, const Answer& answer) {
+  const bool refused =
+      answer.outcome == Outcome::kNotRun || answer.outcome == Outcome::kRefused;
+  if (refused && flows_[flow].calls.contains(answer.request_id))
+    ++record_.refusals[std::string(ReasonName(answer.reason))];
   CallerOutput output;
   flows_[flow].session.OnAnswer(now_, answer, &output);
   OnCallerOutput(flow, output);
@@ -259,11 +263,8 @@
   const bool ok = finished.end == CallEnd::kOk;
   record_.acknowledged_unrun += ok && runs.count == 0 ? 1 : 0;
   record_.wrong_answers += finished.end == CallEnd::kWrongAnswer ? 1 : 0;
-  if (IsRefusal(finished.end)) {
-    ++record_.refusals[std::string(ReasonName(finished.reason))];
-    if (Resubmit(index, call, finished))
-      return;
-  }
+  if (IsRefusal(finished.end) && Resubmit(index, call, finished))
+    return;
   request.ended = true;
   request.ended_at = now_ - origin_;
   request.ok = ok;
