Let stragglers start below a quarter of the slots while short requests wait

Cause: half of the slots of schemata are held by diagram_set at the crest, and the other half is too little for the short requests (about 6.8 slots of work for 6 slots at 1.5 times capacity). Change: while a short request waits, a straggler starts only if fewer than a quarter of the slots (at least one) run stragglers.

--- a/include/skylarkshunt/admission/admission_queue.h
+++ b/include/skylarkshunt/admission/admission_queue.h
@@ -80,6 +80,7 @@
 
   bool MissesDeadline(absl::Time now, const WaitingRequest& request);
   size_t StragglerSlots() const;
+  bool ShortRequestWaits() const;
   size_t RunningStragglers() const;
   absl::Duration WorkAhead(absl::Time now,
                            absl::string_view kind,
--- a/lib/admission/admission_queue.cc
+++ b/lib/admission/admission_queue.cc
@@ -13,6 +13,10 @@
 constexpr double kAgeingFactor = 0.5;
 /// With more slots than this, stragglers hold at most half of them.
 constexpr size_t kSlotsForHalfRule = 2;
+/// While a short request waits, stragglers start only below one slot in so
+/// many: a straggler cannot be taken back, and at the crest of a swing half of
+/// the slots do not serve the short requests in time.
+constexpr size_t kSlotsPerStraggler = 4;
 
 /// One of this many requests that only their learned duration would refuse runs
 /// nevertheless.
@@ -131,7 +135,14 @@
   // A target with one slot has to run its stragglers in it.
   if (slots_ <= kSlotsForHalfRule)
     return 1;
-  return slots_ / 2;
+  return ShortRequestWaits() ? std::max<size_t>(1, slots_ / kSlotsPerStraggler)
+                             : slots_ / 2;
+}
+
+bool AdmissionQueue::ShortRequestWaits() const {
+  return std::any_of(
+      waiting_.begin(), waiting_.end(),
+      [this](const WaitingRequest& r) { return !model_.IsStraggler(r.kind); });
 }
 
 size_t AdmissionQueue::RunningStragglers() const {
--- a/unittests/admission/admission_queue_test.cc
+++ b/unittests/admission/admission_queue_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(ShortRequestsPassStragglers);
   CPPUNIT_TEST(AgeingEndsTheWaitOfStragglers);
   CPPUNIT_TEST(StragglersLeaveSlotsFree);
+  CPPUNIT_TEST(StragglersHoldAQuarterWhileShortRequestsWait);
   CPPUNIT_TEST(OneSlotStillRunsStragglers);
   CPPUNIT_TEST(RefusesWhatWouldMissItsDeadline);
   CPPUNIT_TEST(OutdatedDurationIsLearnedAgain);
@@ -66,6 +67,27 @@
     }
   }
 
+  // Guards against stragglers that age past short requests and then hold half
+  // of the slots through the crest of a swing.
+  void StragglersHoldAQuarterWhileShortRequestsWait() {
+    AdmissionQueue queue(model_, false);
+    queue.SetSlots(4);
+    for (uint64_t id = 1; id <= 4; ++id) {
+      Offer(queue, id, "pull", kStart);
+      ExpectNext(queue, id);
+    }
+    Offer(queue, 5, "archive", kStart);
+    Offer(queue, 6, "archive", kStart);
+    Offer(queue, 7, "pull", kStart + absl::Seconds(20));
+    queue.OnRunEnded(Id(1));
+    ExpectNext(queue, 5);
+    queue.OnRunEnded(Id(2));
+    ExpectNext(queue, 7);
+    // No short request waits any more.
+    queue.OnRunEnded(Id(3));
+    ExpectNext(queue, 6);
+  }
+
   void OneSlotStillRunsStragglers() {
     AdmissionQueue queue(model_, false);
     Offer(queue, 1, "archive", kStart);
