--- a/lib/admission/admission_queue.cc
+++ b/lib/admission/admission_queue.cc
@@ -6,13 +6,19 @@
 namespace skylarkshunt {
 namespace {
 
-constexpr size_t kQueuedPerSlot = 4;
-constexpr size_t kSmallestQueue = 16;
+/// Holds the backlog of a swing of seconds: at 1.5 times capacity a shorter
+/// queue overflows within 0.2 s, and a refused request waits longer for its
+/// repeat than it would have waited in the queue.
+constexpr size_t kQueuedPerSlot = 16;
 /// Seconds of expected duration that one second of waiting outweighs. A
 /// straggler of d seconds is passed for at most 2 d seconds.
 constexpr double kAgeingFactor = 0.5;
 /// With more slots than this, stragglers hold at most half of them.
 constexpr size_t kSlotsForHalfRule = 2;
+/// While a short request waits, stragglers start only below one slot in so
+/// many: a straggler cannot be taken back, and at the crest of a swing half of
+/// the slots do not serve the short requests in time.
+constexpr size_t kSlotsPerStraggler = 4;
 
 /// One of this many requests that only their learned duration would refuse runs
 /// nevertheless.
@@ -29,7 +35,7 @@
 }
 
 size_t AdmissionQueue::capacity() const {
-  return std::max(kQueuedPerSlot * slots_, kSmallestQueue);
+  return kQueuedPerSlot * slots_;
 }
 
 // When slots are free, only the learned duration speaks against the request.
@@ -131,7 +137,14 @@
   // A target with one slot has to run its stragglers in it.
   if (slots_ <= kSlotsForHalfRule)
     return 1;
-  return slots_ / 2;
+  return ShortRequestWaits() ? std::max<size_t>(1, slots_ / kSlotsPerStraggler)
+                             : slots_ / 2;
+}
+
+bool AdmissionQueue::ShortRequestWaits() const {
+  return std::any_of(
+      waiting_.begin(), waiting_.end(),
+      [this](const WaitingRequest& r) { return !model_.IsStraggler(r.kind); });
 }
 
 size_t AdmissionQueue::RunningStragglers() const {
