End a drain when its order is withdrawn

Ruled out: gossip and heartbeat acknowledgements, which carried the new record, and the agent's core, which ends a drain when told (DrainCanBeUndone).

Change: OrdersDrain() reads the body.

--- a/lib/control/agent_control.cc
+++ b/lib/control/agent_control.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "drain_order.h"
 #include "relay_links.h"
 #include "service_uid.h"
 #include "skylarkshunt/configuration/config_store.h"
@@ -263,11 +264,11 @@
                                  AgentControlActions& actions) {
   if (record.revision <= drain_record_.revision)
     return;
-  const bool drained =
-      drain_record_.revision != Revision{} && !drain_record_.deleted;
+  const bool was_ordered = OrdersDrain(drain_record_);
+  const bool ordered = OrdersDrain(record);
   drain_record_ = record;
-  if (drained == record.deleted)
-    actions.push_back(DrainOrder{!record.deleted});
+  if (ordered != was_ordered)
+    actions.push_back(DrainOrder{ordered});
 }
 
 void AgentControlImpl::UpdateApplied(absl::Time now) {
--- a/unittests/control/control_test.cc
+++ b/unittests/control/control_test.cc
@@ -15,6 +15,7 @@
 class ControlTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ControlTest);
   CPPUNIT_TEST(ArrivalDrainAndDeathReachAllEntries);
+  CPPUNIT_TEST(WithdrawnDrainEnds);
   CPPUNIT_TEST(DeathOfAnEntryReachesAllEntries);
   CPPUNIT_TEST(DeathOfAgentAndItsRelaysIsNoticed);
   CPPUNIT_TEST(OneWayCutsDoNotKillAnAgent);
@@ -56,6 +57,23 @@
     }
   }
 
+  // Guards against an agent that takes the record of a withdrawn order for an
+  // order and stays draining for ever.
+  void WithdrawnDrainEnds() {
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+      Fleet fleet({kEntries, kAgents, 2, 1, seed});
+      Settle(fleet);
+      const InstanceUid uid = fleet.UidOf(fleet.AgentAt(seed));
+      const std::string key = "drains/" + ToHex(ToNumber(uid));
+      for (int round = 0; round < 2; ++round) {
+        fleet.Put(key, R"({"drain":true,"apply_id":"1"})");
+        ExpectSeen(fleet, uid, InstanceState::kDraining);
+        fleet.Put(key, R"({"drain":false,"apply_id":"2"})");
+        ExpectSeen(fleet, uid, kServing);
+      }
+    }
+  }
+
   // Guards against relays and gossip peers that nobody monitors.
   void DeathOfAnEntryReachesAllEntries() {
     for (uint64_t seed = 1; seed <= 4; ++seed) {
