Forget the drain order of a service that was created again

Cause: on a new service uid the agent's control dropped the drain record of the old target but did not tell the process, whose orders still said "drain". The core of the new service began to drain at once and took no flow. The pure test looked only at the record, which its fleet sets to serving.

Change: the control withdraws the order before it hands on the service.

Before: RecreatedServiceIsNotTheOldOne fails on the new assertion, and with real processes the agent gets no requests within 30 s of the re-creation. After: control_test passes.

--- a/lib/control/agent_control.cc
+++ b/lib/control/agent_control.cc
@@ -251,6 +251,8 @@
     self_.uid = MakeTargetUid(*uid, self_.target.ToString());
     if (self_.state != InstanceState::kLeaving)
       self_.state = InstanceState::kServing;
+    if (OrdersDrain(drain_record_))
+      actions.push_back(DrainOrder{false});
     drain_record_ = {};
     ++self_.sequence;
     StartJoin();
--- a/unittests/control/config_spread_test.cc
+++ b/unittests/control/config_spread_test.cc
@@ -125,6 +125,8 @@
     fleet.RunFor(absl::Seconds(10));
     Fleet::Node& node = fleet.nodes()[agent];
     CPPUNIT_ASSERT(node.agent->self().service == ServiceUid{99});
+    // The process, too, must hear that no order concerns the new target.
+    CPPUNIT_ASSERT(!node.drained.value_or(true));
     CPPUNIT_ASSERT(fleet.AllSee(old_uid, InstanceState::kDown));
     CPPUNIT_ASSERT(fleet.AllSee(fleet.UidOf(agent), InstanceState::kServing));
     fleet.Perform(0, fleet.nodes()[0].entry->OnPlatformChanges(
