Leave the bound target out of a moved request's candidates

Cause: an idempotent request that leaves a silent or dead target goes along the candidate list, but the list still named that target (from the table itself, or from the one of the previous generation). The first agent sends a bound request to its target wherever the list names it, so every attempt ended at the dead target. Ruled out: membership (the entry reported the target down 2.4 s after the next agent came up) and the route (the log shows `moved` to a live agent, then `passed_on` to the dead one, at each of 12 attempts).

Change: the entry removes the bound target from the list, unless it is the only one there.

The pure test is red without the rule.

--- a/lib/placement/router.cc
+++ b/lib/placement/router.cc
@@ -74,6 +74,17 @@
          request.attempt >= kMoveAtAttempt;
 }
 
+/// Removes a target that a request leaves, unless it is the only one. Agents
+/// send a bound request to its target wherever the list names it, and the table
+/// of the previous generation still holds a target that is down.
+void LeaveOut(InstanceUid target, CandidateList& list) {
+  const auto found =
+      std::find_if(list.begin(), list.end(),
+                   [&](const Candidate& c) { return c.uid == target; });
+  if (list.size() > 1 && found != list.end())
+    list.erase(found);
+}
+
 }  // namespace
 
 Result<std::unique_ptr<Router>> Router::Create(const Options& options) {
@@ -184,8 +195,10 @@
     result = Refuse(forward.caller, request, flow, {Reason::kNoTarget, true});
     return;
   }
-  SendAlongList(
-      target == nullptr ? RouteKind::kUnknownBound : RouteKind::kMoved, result);
+  if (target == nullptr)
+    return SendAlongList(RouteKind::kUnknownBound, result);
+  LeaveOut(request.binding->target_uid, forward.candidates);
+  SendAlongList(RouteKind::kMoved, result);
 }
 
 RouteResult Router::RouteFollowUp(Endpoint caller, CallerMessage message) {
--- a/unittests/placement/router_test.cc
+++ b/unittests/placement/router_test.cc
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include <set>
 
 #include "placement_fixtures.h"
@@ -65,10 +67,17 @@
     }
   }
 
+  // The list must not name the target either: agents would send the request
+  // back to it, also when only the table of the previous generation holds it.
   void IdempotentLeavesASilentOrDeadTarget() {
     Request request = Bound("read", records_[3].uid);
     request.attempt = 4;
-    CPPUNIT_ASSERT(Route(request).decision.kind == RouteKind::kMoved);
+    for (uint64_t flow = 1; flow <= 50; ++flow) {
+      request.flow_id = flow;
+      const RouteResult silent = Route(request);
+      CPPUNIT_ASSERT(silent.decision.kind == RouteKind::kMoved);
+      CPPUNIT_ASSERT(!Names(silent, records_[3].uid));
+    }
     records_[3].state = InstanceState::kDown;
     UseRecords();
     request.attempt = 1;
@@ -76,6 +85,10 @@
     CPPUNIT_ASSERT(result.decision.kind == RouteKind::kMoved);
     CPPUNIT_ASSERT(std::get<RouteToAgent>(result.action).agent !=
                    records_[3].data);
+    for (uint64_t flow = 1; flow <= 50; ++flow) {
+      request.flow_id = flow;
+      CPPUNIT_ASSERT(!Names(Route(request), records_[3].uid));
+    }
   }
 
   // Guards promise P4: this entry cannot know whether the filing ran.
@@ -150,6 +163,12 @@
   }
 
  private:
+  static bool Names(const RouteResult& result, InstanceUid target) {
+    const Forward& forward = std::get<RouteToAgent>(result.action).forward;
+    return std::any_of(forward.candidates.begin(), forward.candidates.end(),
+                       [&](const Candidate& c) { return c.uid == target; });
+  }
+
   std::unique_ptr<Router> MakeRouter() {
     Router::Options options;
     options.entry = Endpoint{0x7f000002, 7000};
