--- a/lib/control/agent_control.cc
+++ b/lib/control/agent_control.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "drain_order.h"
 #include "relay_links.h"
 #include "service_identity.h"
 #include "skylarkshunt/configuration/config_store.h"
@@ -254,6 +255,8 @@
     self_.uid = MakeTargetUid(identity->uid, self_.target.ToString());
     if (self_.state != InstanceState::kLeaving)
       self_.state = InstanceState::kServing;
+    if (OrdersDrain(drain_record_))
+      actions.push_back(DrainOrder{false});
     drain_record_ = {};
     ++self_.sequence;
     StartJoin();
@@ -267,11 +270,11 @@
                                  AgentControlActions& actions) {
   if (record.revision <= drain_record_.revision)
     return;
-  const bool drained =
-      drain_record_.revision != Revision{} && !drain_record_.deleted;
+  const bool was_ordered = OrdersDrain(drain_record_);
+  const bool ordered = OrdersDrain(record);
   drain_record_ = record;
-  if (drained == record.deleted)
-    actions.push_back(DrainOrder{!record.deleted});
+  if (ordered != was_ordered)
+    actions.push_back(DrainOrder{ordered});
 }
 
 void AgentControlImpl::UpdateApplied(absl::Time now) {
