Leave the side no_retry_budget out of the baselines of waiting time

It equals the product in every trace without a lost connection, so that the advantage over the best baseline could never be above 1, whatever the product did.

--- a/tools/skylarkshunt-replay/outcomes.cc
+++ b/tools/skylarkshunt-replay/outcomes.cc
@@ -37,10 +37,16 @@
   return a / b;
 }
 
+/// Differs from the product only in retries after a lost connection. In a trace
+/// without one it is the product itself, and no baseline of waiting time.
+constexpr absl::string_view kNoWaitingBaseline = "no_retry_budget";
+
 /// The best baseline's p99 waiting of short kinds at the crest over ours.
 absl::optional<double> CrestAdvantage(const std::vector<SideFigures>& sides) {
   double best = 0;
   for (size_t i = 1; i < sides.size(); ++i) {
+    if (sides[i].side == kNoWaitingBaseline)
+      continue;
     const double p99 = sides[i].figures.crest_short_p99_ms;
     if (p99 > 0 && (best <= 0 || p99 < best))
       best = p99;
