--- a/tools/skylarkshunt-replay/driver.h
+++ b/tools/skylarkshunt-replay/driver.h
@@ -114,7 +114,7 @@
   void StartTargetRun(size_t agent, const StartRun& start);
   void EndTargetRun(size_t agent, RunId run, const RunResult& result);
   size_t FindFlow(const TraceRequest& event);
-  void StartCall(size_t flow, Call call);
+  void StartCall(size_t flow, const Call& call);
   void OnCallerOutput(size_t flow, const CallerOutput& output);
   void OnFinished(size_t flow, const FinishedRequest& finished);
   void WakeLater(size_t flow);
--- a/tools/skylarkshunt-replay/traffic.cc
+++ b/tools/skylarkshunt-replay/traffic.cc
@@ -217,15 +217,15 @@
   call.request = record_.requests.size() - 1;
   call.plan = CallPlan{event.kind, kind->idempotent, event.deadline,
                        event.answer_bytes, event.run_time};
-  StartCall(FindFlow(event), std::move(call));
+  StartCall(FindFlow(event), call);
 }
 
-void ReplayDriver::StartCall(size_t index, Call call) {
+void ReplayDriver::StartCall(size_t index, const Call& call) {
   Flow& flow = flows_[index];
   CallerOutput output;
   const RequestId id = flow.session.Start(now_, call.plan, &output);
   runs_[id].idempotent = call.plan.idempotent;
-  flow.calls.emplace(id, std::move(call));
+  flow.calls.emplace(id, call);
   OnCallerOutput(index, output);
 }
 
--- a/unittests/replay/replay_test.cc
+++ b/unittests/replay/replay_test.cc
@@ -34,7 +34,7 @@
 }
 
 std::string WriteTemporary(const std::string& name, const std::string& text) {
-  const std::string path =
+  std::string path =
       absl::StrCat(SKYLARKSHUNT_BINARY_DIR, "/replay_test_", name);
   std::ofstream(path) << text;
   return path;
