Let a deployment lose, pause, restart and add processes

The failure tests need one daemon by role and number, a restart at the same addresses (the settings file takes the bound ones once the process is ready), one more entry or agent, the faults of platform and fabric, and skylarkshuntctl with any arguments. The load takes the number of requests after which callers close a flow, and its summary counts idempotent requests that timed out.

--- a/standins/deployment/deployment.h
+++ b/standins/deployment/deployment.h
@@ -6,9 +6,11 @@
 #include <string>
 #include <vector>
 
+#include "absl/types/optional.h"
 #include "skylarkshunt/base/endpoint.h"
 #include "skylarkshunt/base/error.h"
 #include "skylarkshunt/configuration/service_config.h"
+#include "skylarkshunt/membership/instance_record.h"
 #include "standins/process/child_process.h"
 
 namespace skylarkshunt {
@@ -55,6 +57,46 @@
   /// Returns the names of those killed.
   std::vector<std::string> Stop();
 
+  /// Starts one more entry, which the fabric does not know yet, or one more
+  /// agent of service `index` beside `target`. Returns its number. Errors: as
+  /// Start().
+  Result<size_t> AddEntry();
+  Result<size_t> AddAgent(size_t index, Endpoint target);
+  /// Kills the daemon when it still runs and starts it again at the same
+  /// addresses. Errors: as Start().
+  Result<void> Restart(Role role, size_t number);
+
+  /// Sets the faults of a stand-in by POST /fault; an empty object takes the
+  /// fabric's faults back, {"mode":"none"} the platform's. Errors:
+  /// kUnavailable.
+  Result<void> SetPlatformFault(const std::string& json);
+  Result<void> SetFabricFault(const std::string& json);
+  /// Makes the fabric spray over all entries started so far. It leaves out
+  /// those that are not healthy. Errors: kUnavailable.
+  Result<void> SprayOverAllEntries();
+
+  /// Starts skylarkshuntctl with the platform, entry `entry` where one is
+  /// given, and `arguments`; the caller waits for its end. Errors: as
+  /// ChildProcess::Start().
+  Result<std::unique_ptr<ChildProcess>> StartCtl(
+      const std::vector<std::string>& arguments,
+      absl::optional<size_t> entry = 0);
+  /// Returns the JSON text of GET /status of a daemon. Errors: kUnavailable.
+  Result<std::string> Status(Role role, size_t number) const;
+
+  /// The process, addresses and log of a daemon. Agents are numbered over all
+  /// services in the order of their start.
+  ChildProcess& process(Role role, size_t number) {
+    return *children(role)[number].process;
+  }
+  const std::string& log_file(Role role, size_t number) const {
+    return children(role)[number].log_file;
+  }
+  Endpoint data(Role role, size_t number) const {
+    return children(role)[number].data;
+  }
+  size_t count(Role role) const { return children(role).size(); }
+  Endpoint platform() const { return platform_; }
   Endpoint fabric() const { return fabric_; }
   /// Addresses of the targets of service `index`.
   const std::vector<Endpoint>& targets(size_t index) const {
@@ -64,10 +106,10 @@
  private:
   struct Child {
     std::string name;
+    std::string log_file;
     std::unique_ptr<ChildProcess> process;
-  };
-
-  struct Entry {
+    /// Of a daemon; its settings hold these addresses once it was ready.
+    std::string settings_file;
     Endpoint data;
     Endpoint control;
     Endpoint admin;
@@ -80,7 +122,14 @@
                                 const std::string& name,
                                 const std::vector<std::string>& arguments,
                                 std::vector<Child>* children);
-  Result<void> StartEntries();
+  std::vector<Child>& children(Role role) {
+    return role == Role::kEntry ? entries_ : agents_;
+  }
+  const std::vector<Child>& children(Role role) const {
+    return role == Role::kEntry ? entries_ : agents_;
+  }
+  Result<void> LaunchAgent(size_t service, Endpoint target);
+  static Result<void> AwaitDaemon(Child* child);
   Result<void> StartTargets(size_t service);
   Result<void> StartAgents(size_t service);
   Result<void> StartFabric();
@@ -93,7 +142,7 @@
   const Folders folders_;
   Endpoint platform_;
   Endpoint fabric_;
-  std::vector<Entry> entry_addresses_;
+  Endpoint fabric_admin_;
   std::vector<std::vector<Endpoint>> targets_;
   std::vector<Child> agents_;
   std::vector<Child> entries_;
--- a/standins/deployment/load.cc
+++ b/standins/deployment/load.cc
@@ -68,6 +68,8 @@
                    service.config.name,
                    "--flows",
                    absl::StrCat(options.flows),
+                   "--requests-per-flow",
+                   absl::StrCat(options.requests_per_flow),
                    "--rate",
                    absl::StrCat(Rate(service, options.utilisation)),
                    "--duration-s",
@@ -98,6 +100,7 @@
   summary.missing = total["missing"];
   summary.not_run = total["not_run"];
   summary.unknown = total["outcome_unknown"];
+  summary.timed_out = total["timed_out"];
   summary.broken_flows = json["broken_flows"];
   summary.short_p99_ms = json["kinds"][short_kind_]["waiting_ms"]["p99"];
   summary.targets = json["targets"].size();
--- a/standins/deployment/load.h
+++ b/standins/deployment/load.h
@@ -21,6 +21,8 @@
   uint64_t missing = 0;
   uint64_t not_run = 0;
   uint64_t unknown = 0;
+  /// Idempotent requests without a final word at their deadline.
+  uint64_t timed_out = 0;
   uint64_t broken_flows = 0;
   /// Of the kind with the shortest usual duration.
   double short_p99_ms = 0;
@@ -35,6 +37,9 @@
     /// Share of the targets' slots that the load keeps busy.
     double utilisation = 0.5;
     uint32_t flows = 200;
+    /// Requests after which a caller closes its flow and opens another; 0: the
+    /// flows stay open.
+    uint32_t requests_per_flow = 0;
     absl::Duration duration = absl::Seconds(12);
     uint64_t seed = 1;
   };
