Keep opening requests away from targets of the previous generation

Cause: the list of an opening request ended with up to two targets of the previous table; busy agents passed the request on to one that may be gone, where it was lost until the caller's repeat. Noticed in the process tests of failures. Ruled out: the moved requests, fixed before. Change: opening requests take candidates of the current table only.

--- a/include/skylarkshunt/net/poller.h
+++ b/include/skylarkshunt/net/poller.h
@@ -39,7 +39,7 @@
 /// passed since on a clock that never steps and goes on while the process or
 /// the instance is suspended (CLOCK_BOOTTIME). Close to the wall clock, because
 /// agents on different instances compare the age of bindings. Thread-safe.
-absl::Time BootNow();
+absl::Time MonotonicNow();
 
 }  // namespace skylarkshunt
 
--- a/lib/agent/control_loop.cc
+++ b/lib/agent/control_loop.cc
@@ -30,11 +30,11 @@
 }
 
 void AgentControlLoop::Step() {
-  const absl::Duration wait = next_tick_ - BootNow();
+  const absl::Duration wait = next_tick_ - MonotonicNow();
   WaitReadable({parts_.wakeup.fd()},
                std::clamp(wait, absl::ZeroDuration(), kControlTick));
   parts_.wakeup.Drain();
-  const absl::Time now = BootNow();
+  const absl::Time now = MonotonicNow();
   // The report comes first: after a pause it has the new incarnation.
   TakeReport();
   if (now >= next_tick_) {
@@ -43,7 +43,7 @@
   }
   TakeTransportEvents();
   if (const auto entries = parts_.directory.TryPop())
-    Execute(parts_.control->OnDirectory(BootNow(), *entries));
+    Execute(parts_.control->OnDirectory(MonotonicNow(), *entries));
   if (shutdown_.load() && !orders_.shutdown) {
     orders_.shutdown = true;
     orders_changed_ = true;
@@ -60,12 +60,12 @@
     if (!event.has_value())
       return;
     if (const auto* failed = std::get_if<ControlLinkFailed>(&*event)) {
-      Execute(parts_.control->OnSendFailed(BootNow(), failed->peer));
+      Execute(parts_.control->OnSendFailed(MonotonicNow(), failed->peer));
       continue;
     }
     const auto& received = std::get<ControlReceived>(*event);
-    Execute(
-        parts_.control->OnMessage(BootNow(), received.peer, received.message));
+    Execute(parts_.control->OnMessage(MonotonicNow(), received.peer,
+                                      received.message));
   }
 }
 
@@ -74,7 +74,7 @@
   if (!report.has_value())
     return;
   const AgentReport former = std::exchange(report_, *report);
-  const absl::Time now = BootNow();
+  const absl::Time now = MonotonicNow();
   const bool has_core = report_.incarnation != Incarnation{};
   if (has_core && (report_.state != former.state ||
                    report_.incarnation != former.incarnation)) {
@@ -124,7 +124,8 @@
   if (has_core && report_.incarnation < incarnation)
     return;
   Execute(parts_.control->OnStateChanged(
-      BootNow(), report_.state, std::max(report_.incarnation, incarnation)));
+      MonotonicNow(), report_.state,
+      std::max(report_.incarnation, incarnation)));
 }
 
 void AgentControlLoop::OnServiceChanged(const ConfigRecord& record) {
@@ -159,7 +160,7 @@
   status.stats = report_.stats;
   status.flows = report_.flows;
   parts_.board.Publish(std::move(status));
-  next_status_ = BootNow() + kAgentStatusInterval;
+  next_status_ = MonotonicNow() + kAgentStatusInterval;
 }
 
 }  // namespace skylarkshunt
--- a/lib/agent/data_loop.cc
+++ b/lib/agent/data_loop.cc
@@ -74,7 +74,7 @@
 }
 
 void AgentDataLoop::Step() {
-  const absl::Duration wait = next_tick_ - BootNow();
+  const absl::Duration wait = next_tick_ - MonotonicNow();
   WaitReadable({socket_.fd(), wakeup_.fd()},
                std::clamp(wait, absl::ZeroDuration(), kAgentTick));
   wakeup_.Drain();
@@ -111,7 +111,7 @@
     return core.service == forward.service;
   });
   Core& core = it == cores_.end() ? cores_.back() : *it;
-  Execute(core, core.core->OnForward(BootNow(), forward));
+  Execute(core, core.core->OnForward(MonotonicNow(), forward));
 }
 
 void AgentDataLoop::TakeRunsEnded() {
@@ -119,7 +119,7 @@
     // Run numbers are unique in the process; a core ignores those of others.
     for (Core& core : cores_)
       Execute(core,
-              core.core->OnRunEnded(BootNow(), ended->run, ended->result));
+              core.core->OnRunEnded(MonotonicNow(), ended->run, ended->result));
   }
 }
 
@@ -128,11 +128,11 @@
   if (!healthy.has_value())
     return;
   for (Core& core : cores_)
-    Execute(core, core.core->OnHealthHint(BootNow(), *healthy));
+    Execute(core, core.core->OnHealthHint(MonotonicNow(), *healthy));
 }
 
 void AgentDataLoop::Tick() {
-  const absl::Time now = BootNow();
+  const absl::Time now = MonotonicNow();
   if (now < next_tick_)
     return;
   next_tick_ = now + kAgentTick;
@@ -144,7 +144,7 @@
 void AgentDataLoop::RemoveFinishedCores() {
   if (cores_.size() < 2)
     return;
-  const absl::Time now = BootNow();
+  const absl::Time now = MonotonicNow();
   const auto finished = [&](const Core& core) {
     if (now - core.superseded < kFormerCoreLife)
       return false;
@@ -162,7 +162,7 @@
 }
 
 void AgentDataLoop::ApplyOrders(const AgentOrders& orders) {
-  const absl::Time now = BootNow();
+  const absl::Time now = MonotonicNow();
   const bool newer = orders.service.has_value() &&
                      (!applied_.service.has_value() ||
                       orders.service->revision > applied_.service->revision);
@@ -188,7 +188,7 @@
 
 void AgentDataLoop::ApplyService(const ServiceOrder& service,
                                  Incarnation incarnation) {
-  const absl::Time now = BootNow();
+  const absl::Time now = MonotonicNow();
   if (service.deleted) {
     if (!cores_.empty()) {
       Core& newest = cores_.back();
@@ -213,8 +213,8 @@
   if (cores_.empty())
     return;
   Core& former = cores_.back();
-  former.superseded = BootNow();
-  Execute(former, former.core->OnServiceRemoved(BootNow(), revision));
+  former.superseded = MonotonicNow();
+  Execute(former, former.core->OnServiceRemoved(MonotonicNow(), revision));
 }
 
 /// A service whose former uid comes back goes on with its core: a second one
@@ -270,11 +270,11 @@
     runs_refused_.Increment();
     RunResult refused;
     refused.kind = RunResult::Kind::kNotSent;
-    Execute(core, core.core->OnRunEnded(BootNow(), start->run, refused));
+    Execute(core, core.core->OnRunEnded(MonotonicNow(), start->run, refused));
   } else if (const auto* cancel = std::get_if<CancelRun>(&action)) {
     pool_.Cancel(cancel->run);
   } else if (const auto* decision = std::get_if<AgentDecision>(&action)) {
-    log_.Record(BootNow(), *decision);
+    log_.Record(MonotonicNow(), *decision);
   } else if (std::holds_alternative<ShutdownComplete>(action)) {
     core.shutdown_complete = true;
     report_changed_ = true;
@@ -296,7 +296,7 @@
 }
 
 void AgentDataLoop::ReportWhenDue() {
-  const absl::Time now = BootNow();
+  const absl::Time now = MonotonicNow();
   if (!report_changed_ && now < next_report_)
     return;
   report_changed_ = false;
--- a/lib/agent/directory_reader.cc
+++ b/lib/agent/directory_reader.cc
@@ -55,10 +55,10 @@
 }
 
 void DirectoryReader::AwaitRetry(absl::Duration wait) {
-  const absl::Time end = BootNow() + wait;
+  const absl::Time end = MonotonicNow() + wait;
   bool requested = false;
-  while (!stop_.load() && BootNow() < end)
-    requested |= requests_.Pop(end - BootNow()) == Command::kRead;
+  while (!stop_.load() && MonotonicNow() < end)
+    requested |= requests_.Pop(end - MonotonicNow()) == Command::kRead;
   if (requested)
     requests_.TryPush(Command::kRead);
 }
--- a/lib/agent/target_call.cc
+++ b/lib/agent/target_call.cc
@@ -79,7 +79,7 @@
 RunResult CallTarget(Endpoint target,
                      const StartRun& run,
                      const std::function<void(int socket)>& on_socket) {
-  const absl::Duration left = run.deadline - BootNow();
+  const absl::Duration left = run.deadline - MonotonicNow();
   if (left <= absl::ZeroDuration())
     return Ended(RunResult::Kind::kNotSent);
   httplib::Client client(Host(target), target.port);
@@ -94,7 +94,7 @@
     too_long = body.size() + size > kMaxTargetAnswerBytes;
     if (!too_long)
       body.append(data, size);
-    return !too_long && BootNow() < run.deadline;
+    return !too_long && MonotonicNow() < run.deadline;
   };
   const httplib::Result answer = client.send(request);
   if (answer)
@@ -106,8 +106,9 @@
     result.status = kBadGateway;
     return result;
   }
-  return Ended(BootNow() >= run.deadline ? RunResult::Kind::kTimedOut
-                                         : RunResult::Kind::kConnectionLost);
+  return Ended(MonotonicNow() >= run.deadline
+                   ? RunResult::Kind::kTimedOut
+                   : RunResult::Kind::kConnectionLost);
 }
 
 bool TargetSaysHealthy(Endpoint target) {
--- a/lib/agent/target_pool.cc
+++ b/lib/agent/target_pool.cc
@@ -47,7 +47,7 @@
 }
 
 bool TargetPool::Start(const StartRun& run) {
-  return jobs_.TryPush(Job{run, BootNow()});
+  return jobs_.TryPush(Job{run, MonotonicNow()});
 }
 
 void TargetPool::Cancel(RunId run) {
@@ -86,7 +86,7 @@
   }
   // After a pause beyond the lease the run no longer belongs to this
   // incarnation and must not start.
-  const bool lapsed = BootNow() - job.started > kAgentLease;
+  const bool lapsed = MonotonicNow() - job.started > kAgentLease;
   RunResult result = NotSent();
   if (!lapsed && !TakeCancelled(job.run.run)) {
     result = CallTarget(target_, job.run,
--- a/lib/entry/control_loop.cc
+++ b/lib/entry/control_loop.cc
@@ -44,11 +44,11 @@
 }
 
 void EntryControlLoop::Step() {
-  const absl::Duration wait = next_tick_ - BootNow();
+  const absl::Duration wait = next_tick_ - MonotonicNow();
   WaitReadable({parts_.wakeup.fd()},
                std::clamp(wait, absl::ZeroDuration(), kControlTick));
   parts_.wakeup.Drain();
-  const absl::Time now = BootNow();
+  const absl::Time now = MonotonicNow();
   // The tick comes first: it finds a pause before its stale events count.
   if (now >= next_tick_) {
     Execute(parts_.control->OnTick(now));
@@ -58,7 +58,7 @@
   TakePlatformEvents();
   if (shutdown_.load() && !left_) {
     left_ = true;
-    Execute(parts_.control->OnShutdown(BootNow()));
+    Execute(parts_.control->OnShutdown(MonotonicNow()));
   }
   if (routing_changed_ && now >= next_build_)
     BuildSnapshot();
@@ -72,18 +72,18 @@
     if (!event.has_value())
       return;
     if (const auto* failed = std::get_if<ControlLinkFailed>(&*event)) {
-      Execute(parts_.control->OnSendFailed(BootNow(), failed->peer));
+      Execute(parts_.control->OnSendFailed(MonotonicNow(), failed->peer));
       continue;
     }
     const auto& received = std::get<ControlReceived>(*event);
-    Execute(parts_.control->OnMessage(BootNow(), received.connection,
+    Execute(parts_.control->OnMessage(MonotonicNow(), received.connection,
                                       received.message));
   }
 }
 
 void EntryControlLoop::TakePlatformEvents() {
   while (absl::optional<PlatformEvent> event = parts_.platform.TryPop()) {
-    const absl::Time now = BootNow();
+    const absl::Time now = MonotonicNow();
     if (const auto* changes = std::get_if<PlatformChanges>(&*event))
       Execute(parts_.control->OnPlatformChanges(now, changes->changes));
     if (const auto* list = std::get_if<PlatformListed>(&*event)) {
@@ -121,7 +121,7 @@
                                      parts_.control->Config(), snapshot_);
   parts_.data.UseSnapshot(snapshot_);
   routing_changed_ = false;
-  next_build_ = BootNow() + kSnapshotInterval;
+  next_build_ = MonotonicNow() + kSnapshotInterval;
   builds_.Increment();
   services_.Set(snapshot_->service_count());
   targets_.Set(snapshot_->target_count());
@@ -146,7 +146,7 @@
       });
   parts_.platform.SetIsolated(alone);
   parts_.board.Publish(std::move(status));
-  next_status_ = BootNow() + kStatusInterval;
+  next_status_ = MonotonicNow() + kStatusInterval;
 }
 
 absl::flat_hash_map<ServiceUid, std::string> EntryControlLoop::ServiceNames(
--- a/lib/entry/data_plane.cc
+++ b/lib/entry/data_plane.cc
@@ -58,7 +58,7 @@
                                  MetricType::kCounter,
                                  "ring=\"routing_snapshots\"")),
       snapshots_(1, [this] { wakeup_.Notify(); }),
-      last_traffic_ms_(absl::ToUnixMillis(BootNow())),
+      last_traffic_ms_(absl::ToUnixMillis(MonotonicNow())),
       thread_(wakeup_) {}
 
 void EntryDataPlane::Start() {
@@ -72,7 +72,7 @@
 }
 
 absl::Duration EntryDataPlane::Quiet() const {
-  return BootNow() - absl::FromUnixMillis(last_traffic_ms_.load());
+  return MonotonicNow() - absl::FromUnixMillis(last_traffic_ms_.load());
 }
 
 void EntryDataPlane::Step() {
@@ -80,7 +80,7 @@
   wakeup_.Drain();
   if (auto snapshot = snapshots_.TryPop())
     router_->UseSnapshot(*std::move(snapshot));
-  const absl::Time now = BootNow();
+  const absl::Time now = MonotonicNow();
   for (int i = 0; i < kDatagramBatch; ++i) {
     const absl::optional<Datagram> datagram = callers_.Receive();
     if (!datagram.has_value())
--- a/lib/entry/entry_process.cc
+++ b/lib/entry/entry_process.cc
@@ -41,7 +41,7 @@
   void BeginShutdown() override {
     if (leaving_since_ms_.load() != 0)
       return;
-    leaving_since_ms_.store(absl::ToUnixMillis(BootNow()));
+    leaving_since_ms_.store(absl::ToUnixMillis(MonotonicNow()));
     board_.SetHealthy(false);
     control_->BeginShutdown();
   }
@@ -50,7 +50,8 @@
     const int64_t since_ms = leaving_since_ms_.load();
     if (since_ms == 0)
       return false;
-    const absl::Duration leaving = BootNow() - absl::FromUnixMillis(since_ms);
+    const absl::Duration leaving =
+        MonotonicNow() - absl::FromUnixMillis(since_ms);
     const bool quiet = leaving >= kLeaveQuiet && data_->Quiet() >= kLeaveQuiet;
     return quiet || leaving >= kLeaveLimit;
   }
--- a/lib/entry/platform_loop.cc
+++ b/lib/entry/platform_loop.cc
@@ -82,7 +82,7 @@
 void PlatformLoop::Step() {
   if (absl::optional<std::vector<Endpoint>> entries = writes_.TryPop())
     unwritten_ = Sorted(*std::move(entries));
-  absl::Time now = BootNow();
+  absl::Time now = MonotonicNow();
   if (now < not_before_) {
     wakes_.Pop(std::min(not_before_ - now, kIdleWait));
     return;
@@ -235,7 +235,7 @@
     return true;
   overflow_.Increment();
   // The control thread is busy; gives it time before the next list.
-  not_before_ = BootNow() + kFirstRetry;
+  not_before_ = MonotonicNow() + kFirstRetry;
   return false;
 }
 
@@ -249,7 +249,7 @@
 void PlatformLoop::OnFailure(const Error& error, absl::string_view call) {
   failures_.Increment();
   const absl::Duration wait = backoff_.OnFailure();
-  not_before_ = BootNow() + wait;
+  not_before_ = MonotonicNow() + wait;
   if (reachable_) {
     LogLine(kPlatformFailed, Severity::kWarning)
         .Field("call", call)
--- a/lib/net/poller.cc
+++ b/lib/net/poller.cc
@@ -68,7 +68,7 @@
   return poll(polled.data(), count, static_cast<int>(timeout_ms)) > 0;
 }
 
-absl::Time BootNow() {
+absl::Time MonotonicNow() {
   static const absl::Duration wall_offset =
       ReadClock(CLOCK_REALTIME) - ReadClock(CLOCK_BOOTTIME);
   return ReadClock(CLOCK_BOOTTIME) + wall_offset;
--- a/lib/placement/router.cc
+++ b/lib/placement/router.cc
@@ -163,7 +163,12 @@
     RouteBoundRequest(*service, result);
     return result;
   }
-  forward.candidates = service->table->Candidates(flow);
+  // Only an established flow may live at a target of the previous generation.
+  if (sent.opening)
+    service->table->AppendCandidates(flow, kMaxCurrentCandidates,
+                                     forward.candidates);
+  else
+    forward.candidates = service->table->Candidates(flow);
   if (forward.candidates.empty())
     return Refuse(caller, sent, flow,
                   {Reason::kNoTarget, IsIdempotent(*service, sent)});
--- a/lib/transport/control_transport.cc
+++ b/lib/transport/control_transport.cc
@@ -96,7 +96,7 @@
   void RunCommands() {
     while (absl::optional<Command> command = commands_.TryPop()) {
       if (auto* send = std::get_if<SendCommand>(&*command))
-        outbound_->Send(BootNow(), send->peer, send->payload);
+        outbound_->Send(MonotonicNow(), send->peer, send->payload);
       auto* reply = std::get_if<ReplyCommand>(&*command);
       if (reply != nullptr && inbound_ != nullptr)
         inbound_->Send(reply->connection, reply->payload);
@@ -130,9 +130,9 @@
     sweep_.async_wait([this](const boost::system::error_code& error) {
       if (error || closing_)
         return;
-      outbound_->CloseIdle(BootNow());
+      outbound_->CloseIdle(MonotonicNow());
       if (inbound_ != nullptr)
-        inbound_->CloseSilent(BootNow());
+        inbound_->CloseSilent(MonotonicNow());
       ScheduleSweep();
     });
   }
--- a/lib/transport/inbound_links.cc
+++ b/lib/transport/inbound_links.cc
@@ -154,7 +154,7 @@
       return false;
     }
     const ConnectionId id{++last_id_};
-    links_[hdl] = Link{id, BootNow()};
+    links_[hdl] = Link{id, MonotonicNow()};
     by_id_[id] = hdl;
     return true;
   }
@@ -183,7 +183,7 @@
     const auto it = links_.find(hdl);
     if (it == links_.end())
       return;
-    it->second.last_heard = BootNow();
+    it->second.last_heard = MonotonicNow();
     counters_.bytes_received.Add(message->get_payload().size());
     if (observer_.OnPayload(it->second.id, Endpoint{}, message->get_payload()))
       return;
--- a/standins/caller/load_worker.cc
+++ b/standins/caller/load_worker.cc
@@ -63,7 +63,7 @@
   Slot& slot = slots_[index];
   CallerOutput output;
   slot.session->Close(&output);
-  Apply(BootNow(), index, output);
+  Apply(MonotonicNow(), index, output);
   tally_.broken_flows += slot.session->broken() ? 1 : 0;
   tally_.moved_flows += slot.session->moves() > 0 ? 1 : 0;
   tally_.ignored_answers += slot.session->ignored_answers();
@@ -93,16 +93,16 @@
 }
 
 void LoadWorker::Run() {
-  const absl::Time start = BootNow();
+  const absl::Time start = MonotonicNow();
   end_ = start + options_.duration;
   ScheduleFirst(start);
   for (absl::Time now = start;
        now < end_ || !works_.empty() || waiting_reissues_ > 0;
-       now = BootNow()) {
+       now = MonotonicNow()) {
     FireTimers(now);
     absl::Duration wait = kLongestWait;
     if (!timers_.empty())
-      wait = std::min(wait, timers_.top().at - BootNow());
+      wait = std::min(wait, timers_.top().at - MonotonicNow());
     // Rounded up, since a wait below a millisecond would not wait at all.
     WaitReadable(fds_, absl::Ceil(wait, absl::Milliseconds(1)));
     ReadSockets();
@@ -212,7 +212,7 @@
         ++tally_.ignored_answers;
         continue;
       }
-      const absl::Time now = BootNow();
+      const absl::Time now = MonotonicNow();
       const uint32_t slot = found->second.slot;
       CallerOutput output;
       slots_[slot].session->OnAnswer(now, answer.value(), &output);
--- a/standins/caller/main.cc
+++ b/standins/caller/main.cc
@@ -43,13 +43,13 @@
       --left;
     });
   }
-  const absl::Time start = BootNow();
+  const absl::Time start = MonotonicNow();
   absl::Time next = start + kProgressStep;
   while (left > 0) {
     absl::SleepFor(absl::Milliseconds(20));
-    if (BootNow() < next)
+    if (MonotonicNow() < next)
       continue;
-    PrintProgress(workers, BootNow() - start);
+    PrintProgress(workers, MonotonicNow() - start);
     next += kProgressStep;
   }
   for (std::thread& thread : threads)
@@ -86,10 +86,10 @@
     std::cerr << workers.error().ToString() << std::endl;
     return kExitUsage;
   }
-  const absl::Time start = BootNow();
+  const absl::Time start = MonotonicNow();
   RunAll(workers.value());
   return Report(options.value(), workers.value(),
-                absl::ToDoubleSeconds(BootNow() - start));
+                absl::ToDoubleSeconds(MonotonicNow() - start));
 }
 
 }  // namespace
--- a/standins/fabric/fabric.cc
+++ b/standins/fabric/fabric.cc
@@ -94,14 +94,14 @@
       else
         ReadEntries(static_cast<size_t>(tag));
     }
-    SendDue(BootNow());
+    SendDue(MonotonicNow());
   }
 }
 
 int Fabric::WaitMilliseconds() const {
   if (delayed_.empty())
     return kLongestWaitMs;
-  const absl::Duration left = delayed_.top().at - BootNow();
+  const absl::Duration left = delayed_.top().at - MonotonicNow();
   const int64_t ms =
       absl::ToInt64Milliseconds(absl::Ceil(left, absl::Milliseconds(1)));
   return static_cast<int>(std::clamp<int64_t>(ms, 0, kLongestWaitMs));
@@ -192,7 +192,7 @@
       continue;
     }
     ++counts_.delayed;
-    delayed_.push({BootNow() + delay, ++sequence_, to_entry, caller, entry,
+    delayed_.push({MonotonicNow() + delay, ++sequence_, to_entry, caller, entry,
                    std::vector<uint8_t>(bytes.begin(), bytes.end())});
   }
 }
--- a/standins/process/child_process.cc
+++ b/standins/process/child_process.cc
@@ -123,7 +123,7 @@
 }
 
 absl::optional<int> ChildProcess::WaitForExit(absl::Duration timeout) {
-  const absl::Time deadline = BootNow() + timeout;
+  const absl::Time deadline = MonotonicNow() + timeout;
   while (!exit_code_) {
     int status = 0;
     const pid_t ended = waitpid(pid_, &status, WNOHANG);
@@ -131,7 +131,7 @@
       exit_code_ = ExitCode(status);
       break;
     }
-    if (BootNow() >= deadline)
+    if (MonotonicNow() >= deadline)
       return absl::nullopt;
     absl::SleepFor(kExitPoll);
   }
@@ -140,7 +140,7 @@
 
 bool ChildProcess::ReadSome(absl::Time deadline) {
   std::array<char, 4096> bytes = {};
-  const absl::Duration left = deadline - BootNow();
+  const absl::Duration left = deadline - MonotonicNow();
   if (!WaitReadable({output_}, absl::Ceil(left, absl::Milliseconds(1))))
     return false;
   const ssize_t got = read(output_, bytes.data(), bytes.size());
@@ -151,7 +151,7 @@
 }
 
 absl::optional<std::string> ChildProcess::ReadLine(absl::Duration timeout) {
-  const absl::Time deadline = BootNow() + timeout;
+  const absl::Time deadline = MonotonicNow() + timeout;
   size_t end = buffer_.find('\n');
   while (end == std::string::npos) {
     if (!ReadSome(deadline))
@@ -164,7 +164,7 @@
 }
 
 std::string ChildProcess::ReadAll(absl::Duration timeout) {
-  const absl::Time deadline = BootNow() + timeout;
+  const absl::Time deadline = MonotonicNow() + timeout;
   while (ReadSome(deadline)) {
   }
   return std::move(buffer_);
--- a/unittests/agent/target_pool_test.cc
+++ b/unittests/agent/target_pool_test.cc
@@ -249,7 +249,7 @@
 
   static StartRun MakeRun(uint64_t run, absl::Duration deadline) {
     return StartRun{RunId{run}, RequestId{1, run}, "pull", "work",
-                    BootNow() + deadline};
+                    MonotonicNow() + deadline};
   }
 
   static RunEnded Await(TargetPool& pool) {
--- a/unittests/placement/router_test.cc
+++ b/unittests/placement/router_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(ServiceWithoutTargetsIsRefused);
   CPPUNIT_TEST(RepeatsStartAtOtherCandidates);
   CPPUNIT_TEST(FreshLoadOrdersTheFirstTwo);
+  CPPUNIT_TEST(OpeningRequestNeverGoesToARemovedTarget);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -149,6 +150,26 @@
     CPPUNIT_ASSERT_EQUAL(size_t{4}, receivers.size());
   }
 
+  // Guards against an opening request that busy agents pass on to a target that
+  // is gone, where it is lost.
+  void OpeningRequestNeverGoesToARemovedTarget() {
+    const ConfigRecord config = ServiceRecord("s", kService, 1);
+    auto before = RoutingSnapshot::Build("r1", records_, {config}, nullptr);
+    records_[3].state = InstanceState::kDown;
+    router_->UseSnapshot(
+        RoutingSnapshot::Build("r1", records_, {config}, before));
+    for (uint64_t flow = 0; flow < 500; ++flow) {
+      Request request = MakeRequest("read");
+      request.flow_id = flow;
+      request.opening = true;
+      const RouteResult result = Route(request);
+      for (const Candidate& candidate :
+           std::get<RouteToAgent>(result.action).forward.candidates) {
+        CPPUNIT_ASSERT(candidate.uid != records_[3].uid);
+      }
+    }
+  }
+
   void FreshLoadOrdersTheFirstTwo() {
     Request request = MakeRequest("read");
     request.opening = true;
