--- a/include/skylarkshunt/admission/admission_queue.h
+++ b/include/skylarkshunt/admission/admission_queue.h
@@ -80,7 +80,7 @@
 
   bool MissesDeadline(absl::Time now, const WaitingRequest& request);
   size_t StragglerSlots() const;
-  bool ShortRequestsCome() const;
+  bool ShortRequestWaits() const;
   size_t RunningStragglers() const;
   absl::Duration WorkAhead(absl::Time now,
                            absl::string_view kind,
@@ -92,9 +92,6 @@
   const DurationModel& model_;
   const bool first_come_first_served_;
   size_t slots_ = 1;
-  absl::Time now_ = absl::InfinitePast();
-  /// When the last request of a short kind came.
-  absl::Time last_short_ = absl::InfinitePast();
   uint64_t refusals_with_free_slot_ = 0;
   // At most capacity() and a few dozen, so scans are cheap.
   std::vector<WaitingRequest> waiting_;
--- a/lib/admission/admission_queue.cc
+++ b/lib/admission/admission_queue.cc
@@ -19,8 +19,6 @@
 /// many: a straggler cannot be taken back, and at the crest of a swing half of
 /// the slots do not serve the short requests in time.
 constexpr size_t kSlotsPerStraggler = 4;
-/// Short requests count as still coming for this long after the last one.
-constexpr absl::Duration kShortTrafficWindow = absl::Seconds(1);
 
 /// One of this many requests that only their learned duration would refuse runs
 /// nevertheless.
@@ -56,9 +54,6 @@
 
 AdmissionQueue::Admission AdmissionQueue::Offer(absl::Time now,
                                                 WaitingRequest request) {
-  now_ = now;
-  if (!model_.IsStraggler(request.kind))
-    last_short_ = now;
   Admission admission;
   if (now >= request.deadline ||
       (!first_come_first_served_ && MissesDeadline(now, request))) {
@@ -81,7 +76,6 @@
 }
 
 absl::optional<RequestId> AdmissionQueue::Next(absl::Time now) {
-  now_ = now;
   if (running_.size() >= slots_)
     return absl::nullopt;
   size_t best = waiting_.size();
@@ -143,13 +137,11 @@
   // A target with one slot has to run its stragglers in it.
   if (slots_ <= kSlotsForHalfRule)
     return 1;
-  return ShortRequestsCome() ? std::max<size_t>(1, slots_ / kSlotsPerStraggler)
+  return ShortRequestWaits() ? std::max<size_t>(1, slots_ / kSlotsPerStraggler)
                              : slots_ / 2;
 }
 
-bool AdmissionQueue::ShortRequestsCome() const {
-  if (now_ - last_short_ < kShortTrafficWindow)
-    return true;
+bool AdmissionQueue::ShortRequestWaits() const {
   return std::any_of(
       waiting_.begin(), waiting_.end(),
       [this](const WaitingRequest& r) { return !model_.IsStraggler(r.kind); });
