--- a/lib/ctl/arguments.cc
+++ b/lib/ctl/arguments.cc
@@ -87,12 +87,18 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+/// Options that every command takes, so that operators can set them once, for
+/// example in an alias.
+bool IsGlobalOption(absl::string_view name) {
+  return name == "word" || name == "output" || name == "help" ||
+         name == "platform" || name == "entry";
+}
+
 Result<void> CheckOptions(const CommandSpec& spec,
                           const options::variables_map& values) {
   for (const auto& value : values) {
     const std::string& name = value.first;
-    const bool general = name == "word" || name == "output" || name == "help";
-    if (!general && !Contains(spec.options, name)) {
+    if (!IsGlobalOption(name) && !Contains(spec.options, name)) {
       return UsageError(
           absl::StrCat("'", spec.words, "' does not take --", name),
           absl::StrCat("see skylarkshuntctl ", spec.words, " --help"));
--- a/unittests/ctl/view_test.cc
+++ b/unittests/ctl/view_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(ApplyWaitsUntilInForce);
   CPPUNIT_TEST(AcceptedApplyIsNeverCalledUnavailable);
   CPPUNIT_TEST(AgentViews);
+  CPPUNIT_TEST(AddressesAreTakenByEveryCommand);
   CPPUNIT_TEST(DrainOfUnknownTargetIsRefused);
   CPPUNIT_TEST(DamagedStatusIsRejected);
   CPPUNIT_TEST(BadCommandLinesAreUsageErrors);
@@ -115,6 +116,17 @@
     ExpectOutput(ctl, base, {"entry", "list", "--output", "json"}, "[]");
   }
 
+  // Guards against an alias with both addresses that only some commands take.
+  void AddressesAreTakenByEveryCommand() {
+    CtlHarness ctl;
+    for (const std::vector<std::string>& words :
+         {std::vector<std::string>{"service", "list"}, {"version"}}) {
+      std::vector<std::string> line = {"--entry", "127.0.0.1:1"};
+      line.insert(line.end(), words.begin(), words.end());
+      CPPUNIT_ASSERT(ctl.Run(line) == ExitCode::kOk);
+    }
+  }
+
   // Guards against a mistyped uid that drains nothing and reports success.
   void DrainOfUnknownTargetIsRefused() {
     AdminServer entry([](const std::string&) { return Status(""); });
