--- a/include/skylarkshunt/base/error.h
+++ b/include/skylarkshunt/base/error.h
@@ -21,6 +21,7 @@
   kNotFound,          ///< The named object does not exist.
   kConflict,          ///< Another writer changed the object first.
   kUnavailable,       ///< The other side is down, slow or refused.
+  kRefused,           ///< Nobody listens at the address.
   kOutcomeUnknown,    ///< The write may or may not have taken effect.
   kRateLimited,       ///< The other side counts too many calls.
   kAddressInUse,      ///< A socket address is taken.
--- a/include/skylarkshunt/base/event.h
+++ b/include/skylarkshunt/base/event.h
@@ -19,7 +19,8 @@
 enum class Severity { kInfo, kWarning, kError };
 
 /// Builds one log line "SKS1234 name key=value ..." and writes it through glog
-/// when it goes out of scope. Not thread-safe; make one per line.
+/// when it goes out of scope, by way of the LogWriter where there is one. Not
+/// thread-safe; make one per line.
 class LogLine {
  public:
   explicit LogLine(EventId id, Severity severity = Severity::kInfo);
@@ -41,6 +42,7 @@
   }
 
  private:
+  EventId id_;
   Severity severity_;
   std::string text_;
 };
--- /dev/null
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -0,0 +1,116 @@
+#ifndef SKYLARKSHUNT_FORWARDING_AGENT_DIRECTORY_H_
+#define SKYLARKSHUNT_FORWARDING_AGENT_DIRECTORY_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "absl/types/span.h"
+#include "skylarkshunt/base/endpoint.h"
+#include "skylarkshunt/forwarding/messages.h"
+
+namespace skylarkshunt {
+
+/// Time between two reports of an agent to an entry.
+inline constexpr absl::Duration kAgentReportInterval = absl::Milliseconds(100);
+/// Silence after which an agent gets no new flow: five reports, because a
+/// process with a twentieth of a core may be late by two or three.
+inline constexpr absl::Duration kAgentSuspectAfter = absl::Milliseconds(500);
+/// Silence after which an agent is forgotten, and flows that nobody else holds
+/// are given up; longer than an agent needs to start again.
+inline constexpr absl::Duration kAgentForgottenAfter = absl::Seconds(6);
+
+/// One agent as an entry knows it.
+struct AgentView {
+  AgentIdentity identity;
+  Endpoint endpoint;
+  AgentLoad load;
+  uint64_t sequence = 0;
+  Revision configuration{};
+  absl::Time heard;
+  /// Opening packets sent there since it last told its load.
+  uint32_t unreported = 0;
+  absl::Time last_sent;
+};
+
+/// What became known with a message of an agent.
+enum class AgentNews : uint8_t {
+  kNone,
+  kAppeared,   ///< Not known before.
+  kRestarted,  ///< Another incarnation than before.
+  kState,      ///< Another state than before.
+};
+
+/// The agents that an entry knows, by service. Soft state: agents report
+/// themselves, and nothing is kept beyond the process. Not thread-safe.
+class AgentDirectory {
+ public:
+  /// Takes any message of an agent into account. Reports with a sequence that
+  /// is not higher and older incarnations are ignored.
+  AgentNews Update(const AgentIdentity& agent,
+                   const AgentLoad& load,
+                   Endpoint endpoint,
+                   absl::Time now);
+  /// As above for a report, with its sequence and configuration.
+  AgentNews UpdateFromReport(const AgentReport& report,
+                             Endpoint endpoint,
+                             absl::Time now);
+
+  /// Removes agents that have been silent for kAgentForgottenAfter, and returns
+  /// them.
+  std::vector<AgentView> ForgetSilent(absl::Time now);
+
+  /// Returns the agent, or null.
+  AgentView* Find(InstanceUid uid);
+  /// The agents of a service in no particular order; empty if there are none.
+  absl::Span<AgentView> OfService(ServiceUid service);
+
+  /// Whether every agent of the service has been heard lately, so that "no
+  /// agent holds the flow" is certain.
+  bool IsComplete(ServiceUid service, absl::Time now);
+
+  /// Calls `visit` with each agent.
+  template <typename Visitor>
+  void ForEach(const Visitor& visit) const {
+    for (const auto& [service, agents] : agents_) {
+      for (const AgentView& agent : agents)
+        visit(agent);
+    }
+  }
+
+ private:
+  absl::flat_hash_map<ServiceUid, std::vector<AgentView>> agents_;
+  absl::flat_hash_map<InstanceUid, ServiceUid> service_of_;
+};
+
+/// What placement takes into account of one opening packet.
+struct PlacementRequest {
+  ServiceUid service{};
+  uint32_t data_centre = 0;
+  /// Breaks ties; the same for all copies of the packet.
+  uint64_t flow_hash = 0;
+  absl::Span<const InstanceUid> declined;
+};
+
+/// Where a new flow goes.
+struct Placement {
+  AgentView* agent = nullptr;
+  /// Wait for a slot there, in microseconds.
+  uint32_t wait_us = 0;
+  /// The agent declines above this wait, since another is expected to be
+  /// better; the maximum when there is no other.
+  uint32_t wait_limit_us = 0;
+};
+
+/// Returns the agent with the lowest expected time to the first byte. An agent
+/// of the own data centre is preferred while it has a free slot. Nothing when
+/// no agent accepts flows. Precondition: `directory` outlives the result.
+absl::optional<Placement> PlaceFlow(AgentDirectory& directory,
+                                    const PlacementRequest& request,
+                                    absl::Time now);
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_FORWARDING_AGENT_DIRECTORY_H_
--- /dev/null
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -0,0 +1,136 @@
+#ifndef SKYLARKSHUNT_FORWARDING_ENTRY_FORWARDER_H_
+#define SKYLARKSHUNT_FORWARDING_ENTRY_FORWARDER_H_
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/inlined_vector.h"
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "skylarkshunt/forwarding/agent_directory.h"
+#include "skylarkshunt/forwarding/decision.h"
+#include "skylarkshunt/forwarding/messages.h"
+#include "skylarkshunt/forwarding/route_table.h"
+#include "skylarkshunt/packets/packet.h"
+
+namespace skylarkshunt {
+
+/// What an entry has to send, in order. Spans point into the packet that was
+/// passed in.
+struct EntryActions {
+  struct ToAgent {
+    Endpoint agent;
+    ForwardedPacket message;
+  };
+  /// A reset of the flow towards its client.
+  struct ResetClient {
+    FlowId flow;
+    uint32_t sequence = 0;
+  };
+
+  std::vector<ToAgent> to_agents;
+  std::vector<ResetClient> resets;
+  std::vector<Decision> decisions;
+
+  void Clear();
+};
+
+/// Decides where an entry sends the packets of clients. Pure: packets, messages
+/// and the time go in, actions come out. What it keeps of flows is a cache; a
+/// flow that is not in it is found by asking the agents. Not thread-safe.
+class EntryForwarder {
+ public:
+  /// `data_centre` is the hash of the entry's data centre as in AgentIdentity.
+  EntryForwarder(uint32_t data_centre, absl::Time started);
+
+  /// Puts a configuration into force; older versions are ignored.
+  void SetRoutes(std::shared_ptr<const RouteTable> routes);
+  const RouteTable* routes() const { return routes_.get(); }
+
+  AgentDirectory& agents() { return agents_; }
+
+  /// A packet of a client. Appends to `actions`.
+  void OnClientPacket(const PacketHeader& header,
+                      absl::Span<const uint8_t> packet,
+                      absl::Time now,
+                      EntryActions& actions);
+  /// An agent gave a packet back; `header` is the header of that packet.
+  void OnReturned(const ReturnedPacket& returned,
+                  const PacketHeader& header,
+                  Endpoint agent,
+                  absl::Time now,
+                  EntryActions& actions);
+  void OnPlaced(const FlowPlaced& placed,
+                Endpoint agent,
+                absl::Time now,
+                EntryActions& actions);
+  /// Forgets idle flows and searches. Call it every second.
+  void ForgetIdle(absl::Time now);
+
+  size_t cached_flows() const { return flows_.size(); }
+
+ private:
+  struct CachedFlow {
+    InstanceUid agent{};
+    absl::Time used;
+  };
+  struct Search {
+    absl::Time started;
+    std::vector<InstanceUid> not_held;
+  };
+
+  void Open(const Route& route,
+            const FlowId& flow,
+            const PacketHeader& header,
+            absl::Span<const uint8_t> packet,
+            absl::Time now,
+            EntryActions& actions);
+  void Place(const Route& route,
+             const FlowId& flow,
+             ForwardedPacket message,
+             DecisionKind kind,
+             absl::Time now,
+             EntryActions& actions);
+  void PlaceAnywhere(const Route& route,
+                     const FlowId& flow,
+                     ForwardedPacket message,
+                     absl::Time now,
+                     EntryActions& actions);
+  void SendTo(AgentView& agent,
+              const FlowId& flow,
+              const ForwardedPacket& message,
+              EntryActions& actions);
+  void SearchFlow(const Route& route,
+                  const FlowId& flow,
+                  const PacketHeader& header,
+                  absl::Span<const uint8_t> packet,
+                  absl::Time now,
+                  EntryActions& actions);
+  void NoteNotHeld(const ReturnedPacket& returned,
+                   const Route& route,
+                   const FlowId& flow,
+                   const PacketHeader& header,
+                   absl::Time now,
+                   EntryActions& actions);
+  void Refuse(const FlowId& flow,
+              const PacketHeader& header,
+              absl::string_view reason,
+              EntryActions& actions) const;
+  void Remember(const FlowId& flow, InstanceUid agent, absl::Time now);
+  Decision MakeDecision(DecisionKind kind,
+                        const FlowId& flow,
+                        absl::string_view reason) const;
+
+  const uint32_t data_centre_;
+  const absl::Time started_;
+  std::shared_ptr<const RouteTable> routes_;
+  AgentDirectory agents_;
+  absl::flat_hash_map<FlowId, CachedFlow> flows_;
+  absl::flat_hash_map<FlowId, Search> searches_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_FORWARDING_ENTRY_FORWARDER_H_
--- /dev/null
+++ b/include/skylarkshunt/forwarding/node_codec.h
@@ -0,0 +1,30 @@
+#ifndef SKYLARKSHUNT_FORWARDING_NODE_CODEC_H_
+#define SKYLARKSHUNT_FORWARDING_NODE_CODEC_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "absl/types/span.h"
+#include "skylarkshunt/base/error.h"
+#include "skylarkshunt/forwarding/messages.h"
+
+namespace skylarkshunt {
+
+/// Most node addresses of one EntryReport; 5 bytes each in a datagram of at
+/// most 1,400 bytes.
+inline constexpr size_t kMaxReportedNodes = 240;
+
+/// Replaces `out` by the datagram of `message`: a version byte, a type byte and
+/// the fields in little-endian order. The layout is fixed rather than CBOR
+/// since it is written and read once per packet of a flow. Thread-safe on
+/// different `out`.
+void EncodeNodeMessage(const NodeMessage& message, std::vector<uint8_t>& out);
+
+/// Reads a datagram; a packet inside points into `datagram`. Errors:
+/// kMalformedMessage for another version, an unknown type or value, missing or
+/// surplus bytes. Thread-safe.
+Result<NodeMessage> DecodeNodeMessage(absl::Span<const uint8_t> datagram);
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_FORWARDING_NODE_CODEC_H_
--- /dev/null
+++ b/include/skylarkshunt/forwarding/node_directory.h
@@ -0,0 +1,67 @@
+#ifndef SKYLARKSHUNT_FORWARDING_NODE_DIRECTORY_H_
+#define SKYLARKSHUNT_FORWARDING_NODE_DIRECTORY_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "skylarkshunt/forwarding/messages.h"
+
+namespace skylarkshunt {
+
+/// Silence after which a node counts as absent.
+inline constexpr absl::Duration kNodePresentFor = absl::Seconds(2);
+
+/// The addresses of other nodes, and when each gets the next report. Agents
+/// report to entries only; entries report to all. Addresses come from seeds,
+/// from the object store and from the reports of entries; only a node that is
+/// heard counts as live. Pure and not thread-safe.
+class NodeDirectory {
+ public:
+  /// `interval` is the time between two reports to a node that is present.
+  NodeDirectory(Role self,
+                uint32_t address,
+                absl::Duration interval,
+                absl::Span<const uint32_t> seeds,
+                absl::Time now);
+
+  /// A node may be at this address.
+  void Learn(NodeAddress node, absl::Time now);
+  /// A message came from this node. Returns whether it was absent before, so
+  /// that it should get a report at once.
+  bool Heard(NodeAddress node, absl::Time now);
+  /// Appends the addresses that get a report now, and notes that they do.
+  void TakeDue(absl::Time now, std::vector<uint32_t>& due);
+  /// Makes every present node due, for news that must not wait.
+  void MakeAllDue();
+  /// Forgets addresses that have been silent for long. Seeds stay.
+  void ForgetSilent(absl::Time now);
+
+  /// The nodes present, at most `limit`; entries come first.
+  std::vector<NodeAddress> Present(absl::Time now, size_t limit) const;
+  /// Whether any entry other than this node is present.
+  bool HasPresentEntry(absl::Time now) const;
+
+ private:
+  struct Known {
+    Role role = Role::kEntry;
+    bool seed = false;
+    absl::Time learned;
+    absl::Time heard = absl::InfinitePast();
+    absl::Time due;
+  };
+
+  bool Wanted(const NodeAddress& node) const;
+  absl::Duration IntervalOf(const Known& known, absl::Time now) const;
+
+  const Role self_;
+  const uint32_t address_;
+  const absl::Duration interval_;
+  absl::flat_hash_map<uint32_t, Known> nodes_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_FORWARDING_NODE_DIRECTORY_H_
--- /dev/null
+++ b/include/skylarkshunt/forwarding/route_table.h
@@ -0,0 +1,76 @@
+#ifndef SKYLARKSHUNT_FORWARDING_ROUTE_TABLE_H_
+#define SKYLARKSHUNT_FORWARDING_ROUTE_TABLE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "skylarkshunt/base/endpoint.h"
+#include "skylarkshunt/base/ids.h"
+#include "skylarkshunt/packets/packet.h"
+
+namespace skylarkshunt {
+
+/// Identity of a service in a deployment that names services by text.
+/// Thread-safe.
+ServiceUid MakeServiceUid(absl::string_view name);
+
+/// Whether a request may be repeated after any failure.
+enum class RequestKind : uint8_t {
+  kIdempotent = 0,
+  kNonIdempotent = 1,
+  kDownload = 2,
+};
+
+/// A share of a route's new flows.
+struct RouteShare {
+  ServiceUid service{};
+  uint32_t weight = 1;
+};
+
+/// Where flows to one address of the deployment go.
+struct Route {
+  std::string name;
+  /// At least one; most routes have exactly one.
+  std::vector<RouteShare> shares;
+  RequestKind kind = RequestKind::kNonIdempotent;
+  /// Time after which a client gives up.
+  absl::Duration deadline = absl::InfiniteDuration();
+  /// Time within which an answer is worth most.
+  absl::Duration latency_objective = absl::InfiniteDuration();
+  /// 0 is the most urgent.
+  uint32_t priority = 0;
+};
+
+/// What the configuration says of a service.
+struct ServiceSettings {
+  std::string name;
+  /// Path of the target's own health check.
+  std::string health_path;
+  uint32_t max_connections = 0;
+};
+
+/// One version of the configuration, immutable once it is in force.
+struct RouteTable {
+  /// Version that the operator gave.
+  uint64_t version = 0;
+  absl::flat_hash_map<Endpoint, Route> routes;
+  absl::flat_hash_map<ServiceUid, ServiceSettings> services;
+  /// A flow without packets for this long may be forgotten.
+  absl::Duration idle_timeout = absl::Seconds(60);
+
+  /// Returns the route to `address`, or null. Thread-safe.
+  const Route* Find(Endpoint address) const;
+};
+
+/// Returns the service that a new flow goes to; the same flow always gets the
+/// same one while the weights stay. Precondition: the route has a share.
+/// Thread-safe.
+ServiceUid ChooseService(const Route& route, const FlowId& flow);
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_FORWARDING_ROUTE_TABLE_H_
--- a/include/skylarkshunt/net/loop_thread.h
+++ b/include/skylarkshunt/net/loop_thread.h
@@ -25,6 +25,10 @@
   /// before. Not thread-safe.
   void Start(std::function<void()> step);
 
+  /// Stops the thread and waits for its end; repeated calls change nothing. Not
+  /// thread-safe.
+  void Stop();
+
  private:
   const Wakeup& wakeup_;
   std::atomic<bool> stop_{false};
--- /dev/null
+++ b/include/skylarkshunt/node/node_options.h
@@ -0,0 +1,75 @@
+#ifndef SKYLARKSHUNT_NODE_NODE_OPTIONS_H_
+#define SKYLARKSHUNT_NODE_NODE_OPTIONS_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "skylarkshunt/base/endpoint.h"
+#include "skylarkshunt/base/error.h"
+#include "skylarkshunt/forwarding/route_table.h"
+#include "skylarkshunt/forwarding/target_report.h"
+#include "skylarkshunt/http/http_server.h"
+#include "skylarkshunt/membership/instance_record.h"
+#include "skylarkshunt/packets/packet.h"
+
+namespace skylarkshunt {
+
+/// What a node of a deployment that forwards packet flows starts with.
+struct NodeOptions {
+  Role role = Role::kAgent;
+  /// Name of the instance, unique in the deployment.
+  std::string name;
+  std::string data_centre;
+  /// Messages between nodes (UDP) and the operators' HTTP end point (TCP). The
+  /// port is the same on all nodes.
+  Endpoint peers;
+  /// Entries: packets of clients (UDP).
+  Endpoint data;
+  /// Port at a client's address that takes packets for it.
+  uint16_t client_port = 0;
+  /// Agents: packets of the target, both ways (UDP).
+  Endpoint target_packets;
+  /// Agents: where the target takes packets (UDP) and its health check (TCP).
+  Endpoint target;
+  /// Agents: name of the target's service.
+  std::string service;
+  /// Whether new flows may come (HTTP); port 0 where nobody asks.
+  Endpoint readiness;
+  /// Agents: reports of the target (HTTP).
+  Endpoint target_reports;
+  /// Addresses of entries that may be known, stale or down.
+  std::vector<uint32_t> seeds;
+  Endpoint store;
+  /// Time between two reports of a target.
+  absl::Duration target_report_interval = absl::Milliseconds(1200);
+  /// Time between SIGTERM and SIGKILL.
+  absl::Duration shutdown_limit = absl::Seconds(6);
+};
+
+/// What a node offers to the callers of its HTTP end points. Thread-safe.
+struct NodeHooks {
+  std::function<bool()> is_ready;
+  /// Returns once the report is certain to be taken into account; false when
+  /// the node cannot take it now.
+  std::function<bool(const TargetReport&)> on_target_report;
+  std::function<bool(absl::string_view id)> on_target_left;
+};
+
+/// The translation between a deployment's formats and the product's types.
+struct DeploymentAdapter {
+  std::shared_ptr<const PacketFormat> packets;
+  /// Key of the configuration in the object store.
+  std::string configuration_key;
+  std::function<Result<RouteTable>(absl::string_view)> read_configuration;
+  std::function<HttpServer::Handler(const NodeHooks&)> readiness;
+  std::function<HttpServer::Handler(const NodeHooks&)> target_reports;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_NODE_NODE_OPTIONS_H_
--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -26,24 +26,15 @@
   std::vector<ConfigRecord> changes;
 };
 
-/// Blocking HTTP client of the platform's object API. Not thread-safe: one
-/// client per thread. Every call ends within the timeout of the options.
-///
-/// Keys and prefixes have 1 to 200 letters, digits, '-', '_', '.' and '/';
-/// every call fails with kInvalidArgument for others, and Write() for bodies
-/// above 1 MiB.
+/// Whether a list may show a state that is some seconds old, at a lower price.
+enum class ReadFreshness { kCurrent, kMayBeStale };
+
+/// Blocking client of the platform's object store. Not thread-safe: one client
+/// per thread. Every call ends within the timeout of the options.
 ///
-/// Protocol (JSON over HTTP/1.1; revisions are numbers, "body" in answers is
-/// the object's JSON text as a string):
-///   GET    /v1/objects/KEY             200 {"key","revision","body"} | 404
-///   GET    /v1/objects?prefix=P        200 {"revision","objects":[...]}
-///   PUT    /v1/objects/KEY  body JSON; If-Match: "REV" or If-None-Match: *
-///                                      200 {"revision"} | 412 {"revision"}
-///   DELETE /v1/objects/KEY  If-Match   200 {"revision"} | 404 | 412
-///   GET    /v1/watch?prefix=P&after=REV&wait_ms=N
-///            200 {"revision","changes":[{"key","revision","deleted","body"}]}
-///            410 when changes after REV are no longer held: list again
-///   429 when more calls come than the platform takes, 503 when it is down.
+/// A key is "kind/name" and a prefix "kind/"; kind and name have 1 to 200
+/// letters, digits, '-', '_' and '.'. Every call fails with kInvalidArgument
+/// for others, and Write() for bodies above 1 MiB or that are no JSON text.
 class PlatformClient {
  public:
   struct Options {
@@ -58,7 +49,11 @@
   virtual Result<ConfigRecord> Read(absl::string_view key) = 0;
 
   /// Errors: as Read().
-  virtual Result<ObjectList> List(absl::string_view prefix) = 0;
+  virtual Result<ObjectList> List(absl::string_view prefix,
+                                  ReadFreshness freshness) = 0;
+  Result<ObjectList> List(absl::string_view prefix) {
+    return List(prefix, ReadFreshness::kCurrent);
+  }
 
   /// Writes `body` where the object is absent (`expected` 0) or has the
   /// revision `expected`. Returns the new revision. Errors: kConflict,
--- a/lib/base/error.cc
+++ b/lib/base/error.cc
@@ -22,6 +22,8 @@
       return "conflict";
     case ErrorKind::kUnavailable:
       return "unavailable";
+    case ErrorKind::kRefused:
+      return "refused";
     case ErrorKind::kOutcomeUnknown:
       return "outcome_unknown";
     case ErrorKind::kRateLimited:
--- /dev/null
+++ b/lib/base/log_writer.cc
@@ -0,0 +1,111 @@
+#include "skylarkshunt/base/log_writer.h"
+
+#include <atomic>
+#include <cassert>
+#include <map>
+#include <thread>
+#include <utility>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
+#include "log_queue.h"
+#include "skylarkshunt/base/bounded_ring.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr EventId kLinesLeftOut{1010, "log_lines_left_out"};
+
+/// Lines that wait for the reader of the output. At 200 bytes a line this is
+/// about 400 KB, well below the smallest memory limit of a node.
+constexpr size_t kMaxQueuedLines = 2'048;
+/// Lines are collected for this long and then written together, since each
+/// wake-up of the writer costs processor time.
+constexpr absl::Duration kCollectTime = absl::Milliseconds(100);
+
+/// Time between two looks whether the writer is to end while nothing is logged.
+constexpr absl::Duration kStopCheckInterval = absl::Seconds(1);
+
+struct QueuedLine {
+  Severity severity = Severity::kInfo;
+  std::string text;
+};
+
+class RingLogWriter : public LogWriter {
+ public:
+  RingLogWriter();
+  ~RingLogWriter() override;
+
+  void Queue(EventId id, Severity severity, std::string& text) {
+    if (lines_.TryPush({severity, std::move(text)}))
+      return;
+    absl::MutexLock lock(&mutex_);
+    ++left_out_[id.number];
+  }
+
+ private:
+  void Run() {
+    while (!stop_.load()) {
+      absl::optional<QueuedLine> first = lines_.Pop(kStopCheckInterval);
+      if (!first.has_value())
+        continue;
+      absl::SleepFor(kCollectTime);
+      WriteLogLine(first->severity, first->text);
+      WriteAll();
+    }
+  }
+
+  void WriteAll() {
+    while (absl::optional<QueuedLine> line = lines_.TryPop())
+      WriteLogLine(line->severity, line->text);
+    std::map<int, uint64_t> left_out;
+    {
+      absl::MutexLock lock(&mutex_);
+      left_out.swap(left_out_);
+    }
+    for (const auto& [event, count] : left_out) {
+      WriteLogLine(Severity::kWarning,
+                   absl::StrCat("SKS", kLinesLeftOut.number, " ",
+                                kLinesLeftOut.name, " event=SKS", event,
+                                " count=", count, " reason=slow_reader"));
+    }
+  }
+
+  BoundedRing<QueuedLine> lines_{kMaxQueuedLines};
+  absl::Mutex mutex_;
+  std::map<int, uint64_t> left_out_ ABSL_GUARDED_BY(mutex_);
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+std::atomic<RingLogWriter*> g_writer{nullptr};
+
+RingLogWriter::RingLogWriter() : thread_([this] { Run(); }) {
+  [[maybe_unused]] RingLogWriter* const other = g_writer.exchange(this);
+  assert(other == nullptr && "only one log writer at a time");
+}
+
+RingLogWriter::~RingLogWriter() {
+  g_writer.store(nullptr);
+  stop_.store(true);
+  thread_.join();
+  WriteAll();
+}
+
+}  // namespace
+
+bool QueueLogLine(EventId id, Severity severity, std::string& text) {
+  RingLogWriter* writer = g_writer.load();
+  if (writer == nullptr)
+    return false;
+  writer->Queue(id, severity, text);
+  return true;
+}
+
+std::unique_ptr<LogWriter> LogWriter::Start() {
+  return std::make_unique<RingLogWriter>();
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/lib/forwarding/agent_forwarder.cc
@@ -0,0 +1,484 @@
+#include "skylarkshunt/forwarding/agent_forwarder.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace skylarkshunt {
+namespace {
+
+/// Deliveries whose return can be told apart; a target returns a packet within
+/// a millisecond, long before so many others follow.
+constexpr size_t kMaxDeliveries = 4'096;
+/// Most flows that an agent keeps. Beyond it, flows run on without a record and
+/// are found by asking the target.
+constexpr size_t kMaxFlows = 32'768;
+/// Most flows remembered as not held.
+constexpr size_t kMaxNotHeld = 8'192;
+/// Time that a target has to answer an opening packet. It answers within a
+/// millisecond while it runs; the client's first copy comes after 200 ms.
+constexpr absl::Duration kOpeningTimeout = absl::Milliseconds(80);
+/// Time between two sweeps over all flows.
+constexpr absl::Duration kSweepInterval = absl::Milliseconds(250);
+/// An opening flow whose client sends nothing more is no load after this.
+constexpr absl::Duration kOpeningLifetime = absl::Milliseconds(1500);
+/// An ended flow is kept for the last packets of both ends.
+constexpr absl::Duration kEndedLifetime = absl::Seconds(5);
+/// A flow without packets is forgotten after the longest idle time plus margin;
+/// asking the target finds it again.
+constexpr absl::Duration kIdleLifetime = absl::Seconds(70);
+/// How long a target's answer "not held" is believed.
+constexpr absl::Duration kNotHeldLifetime = absl::Seconds(10);
+/// Sequence numbers of two ends that differ by less belong together; a flow
+/// carries less, and a foreign sequence number is random.
+constexpr uint32_t kSequenceWindow = 1U << 24;
+
+bool FollowsSequence(uint32_t acknowledged, uint32_t initial) {
+  return acknowledged - initial < kSequenceWindow;
+}
+
+bool IsAfter(uint32_t a, uint32_t b) {
+  return static_cast<int32_t>(a - b) > 0;
+}
+
+}  // namespace
+
+void AgentActions::Clear() {
+  to_target.clear();
+  to_clients.clear();
+  to_entries.clear();
+  resets.clear();
+  decisions.clear();
+  probe_target = false;
+}
+
+AgentForwarder::AgentForwarder(Options options, absl::Time now)
+    : options_(std::move(options)),
+      target_(options_.service, options_.report_interval),
+      deliveries_(kMaxDeliveries),
+      next_sweep_(now + kSweepInterval) {}
+
+void AgentForwarder::OnForwarded(const ForwardedPacket& forwarded,
+                                 const PacketHeader& header,
+                                 Endpoint entry,
+                                 absl::Time now,
+                                 AgentActions& actions) {
+  if (header.opening)
+    OnOpening(forwarded, header, entry, now, actions);
+  else
+    OnLater(forwarded, header, entry, now, actions);
+}
+
+void AgentForwarder::OnOpening(const ForwardedPacket& forwarded,
+                               const PacketHeader& header,
+                               Endpoint entry,
+                               absl::Time now,
+                               AgentActions& actions) {
+  const FlowId id = header.flow_from_client();
+  Delivery back;
+  back.flow = id;
+  back.entry = entry;
+  back.mode = ForwardMode::kOpening;
+  back.declined = forwarded.declined;
+  const auto known = flows_.find(id);
+  if (known != flows_.end() && known->second.phase == Phase::kOpen) {
+    Deliver(forwarded, id, entry, actions);
+    return;
+  }
+  if (forwarded.service != options_.identity.service) {
+    GiveBack(back, ReturnReason::kWrongService, forwarded.packet, now, actions);
+    return;
+  }
+  const AgentLoad current = load(now);
+  if (!current.accepts_flows() || flows_.size() >= kMaxFlows) {
+    GiveBack(back, ReturnReason::kNotAccepting, forwarded.packet, now, actions);
+    return;
+  }
+  const uint32_t wait_us = ExpectedWaitUs(current, 0);
+  if (known == flows_.end() && wait_us > forwarded.wait_limit_us) {
+    GiveBack(back, ReturnReason::kBusy, forwarded.packet, now, actions);
+    return;
+  }
+  EraseFlow(id);
+  not_held_.erase(id);
+  Flow& flow = flows_[id];
+  flow.entry = entry;
+  flow.kind = forwarded.kind;
+  flow.used = now;
+  flow.requested = now;
+  flow.busy_before = busy_;
+  flow.client_expects = 0;
+  ++open_;
+  SetBusy(flow, true);
+  Decision decision = MakeDecision(DecisionKind::kAccepted, id, "slot", now);
+  decision.time = absl::Microseconds(wait_us);
+  decision.hops = static_cast<uint32_t>(forwarded.declined.size());
+  actions.decisions.push_back(decision);
+  Unanswered unanswered;
+  unanswered.flow = id;
+  unanswered.token = Deliver(forwarded, id, entry, actions);
+  unanswered.deadline = now + kOpeningTimeout;
+  unanswered.packet.assign(forwarded.packet.begin(), forwarded.packet.end());
+  unanswered_.push_back(std::move(unanswered));
+  actions.to_entries.push_back(
+      {entry, FlowPlaced{options_.identity, load(now), id}});
+}
+
+void AgentForwarder::OnLater(const ForwardedPacket& forwarded,
+                             const PacketHeader& header,
+                             Endpoint entry,
+                             absl::Time now,
+                             AgentActions& actions) {
+  const FlowId id = header.flow_from_client();
+  Delivery back;
+  back.flow = id;
+  back.entry = entry;
+  back.mode = forwarded.mode;
+  const auto known = flows_.find(id);
+  if (known == flows_.end()) {
+    const auto denied = not_held_.find(id);
+    const bool not_held =
+        target_.seen_from_start() ||
+        target_.state(now) == InstanceState::kDown ||
+        (denied != not_held_.end() && now - denied->second < kNotHeldLifetime);
+    if (not_held)
+      GiveBack(back, ReturnReason::kNotHeld, forwarded.packet, now, actions);
+    else
+      Deliver(forwarded, id, entry, actions);
+    return;
+  }
+  Flow& flow = known->second;
+  const bool foreign =
+      flow.phase == Phase::kOpening && header.acknowledges &&
+      flow.target_sequence_known &&
+      !FollowsSequence(header.acknowledged, flow.target_sequence);
+  if (foreign) {
+    // The client took the grant of another target.
+    EraseFlow(id);
+    GiveBack(back, ReturnReason::kNotHeld, forwarded.packet, now, actions);
+    return;
+  }
+  if (forwarded.mode == ForwardMode::kSearch) {
+    actions.to_entries.push_back(
+        {entry, FlowPlaced{options_.identity, load(now), id}});
+  }
+  flow.entry = entry;
+  NoteClientPacket(flow, header, now);
+  Deliver(forwarded, id, entry, actions);
+}
+
+void AgentForwarder::NoteClientPacket(Flow& flow,
+                                      const PacketHeader& header,
+                                      absl::Time now) {
+  flow.used = now;
+  if (header.acknowledges)
+    flow.client_expects = header.acknowledged;
+  if (flow.phase == Phase::kOpening)
+    flow.phase = Phase::kOpen;
+  if (header.payload_bytes > 0) {
+    const uint32_t end = header.sequence + header.payload_bytes;
+    const bool fresh =
+        !flow.client_next_known || IsAfter(end, flow.client_next);
+    if (fresh) {
+      flow.client_next = end;
+      flow.client_next_known = true;
+      flow.requested = now;
+      if (!flow.busy)
+        flow.busy_before = busy_;
+      SetBusy(flow, true);
+    }
+  }
+  if (header.ending)
+    flow.client_ended = true;
+  const bool over = header.reset || (flow.client_ended && flow.target_ended);
+  if (over && flow.phase != Phase::kEnded) {
+    flow.phase = Phase::kEnded;
+    --open_;
+    SetBusy(flow, false);
+  }
+}
+
+void AgentForwarder::OnTargetPacket(const PacketHeader& header,
+                                    absl::Span<const uint8_t> packet,
+                                    absl::Time now,
+                                    AgentActions& actions) {
+  target_.OnAlive();
+  if (header.returned) {
+    OnReturnedByTarget(header, packet, now, actions);
+    return;
+  }
+  const FlowId id = header.flow_to_client();
+  const auto known = flows_.find(id);
+  if (known != flows_.end()) {
+    NoteTargetPacket(id, known->second, header, now, actions);
+  } else if (flows_.size() < kMaxFlows && !header.reset) {
+    // The flow was opened before this agent started.
+    Flow& flow = flows_[id];
+    flow.phase = Phase::kOpen;
+    flow.used = now;
+    ++open_;
+    not_held_.erase(id);
+  }
+  actions.to_clients.push_back({header.destination.address, packet});
+}
+
+void AgentForwarder::NoteTargetPacket(const FlowId& id,
+                                      Flow& flow,
+                                      const PacketHeader& header,
+                                      absl::Time now,
+                                      AgentActions& actions) {
+  flow.used = now;
+  if (header.opening) {
+    flow.target_sequence = header.sequence;
+    flow.target_sequence_known = true;
+    unanswered_.erase(
+        std::remove_if(unanswered_.begin(), unanswered_.end(),
+                       [&id](const Unanswered& u) { return u.flow == id; }),
+        unanswered_.end());
+    return;
+  }
+  // The packets of an answer come in any order, and its end often comes first.
+  const bool answers = header.payload_bytes > 0 || header.ending;
+  if (answers && flow.busy) {
+    const absl::Duration elapsed = now - flow.requested;
+    service_time_.Record(elapsed, flow.busy_before, target_.slots(), now);
+    Decision decision =
+        MakeDecision(DecisionKind::kAnswered, id, "first_byte", now);
+    decision.time = elapsed;
+    actions.decisions.push_back(decision);
+  }
+  if (answers || header.reset)
+    SetBusy(flow, false);
+  if (header.ending)
+    flow.target_ended = true;
+  const bool over = header.reset || (flow.client_ended && flow.target_ended);
+  if (over && flow.phase != Phase::kEnded) {
+    flow.phase = Phase::kEnded;
+    --open_;
+  }
+}
+
+void AgentForwarder::OnReturnedByTarget(const PacketHeader& header,
+                                        absl::Span<const uint8_t> packet,
+                                        absl::Time now,
+                                        AgentActions& actions) {
+  const FlowId id = header.flow_from_client();
+  const Delivery& delivery =
+      deliveries_[header.return_token % deliveries_.size()];
+  if (delivery.token != header.return_token || delivery.flow != id)
+    return;  // Its delivery is too long ago; the client sends a copy.
+  const auto known = flows_.find(id);
+  if (header.opening) {
+    if (known != flows_.end() && known->second.phase == Phase::kOpening)
+      EraseFlow(id);
+    GiveBack(delivery, ReturnReason::kTargetRefused, packet, now, actions);
+    return;
+  }
+  const bool lost =
+      known != flows_.end() && known->second.phase == Phase::kOpen;
+  if (lost) {
+    // The target answered packets of this flow before and forgot it: it started
+    // again, and no other target can hold the flow.
+    if (!header.reset) {
+      actions.resets.push_back({id, header.acknowledged});
+      actions.decisions.push_back(
+          MakeDecision(DecisionKind::kCut, id, "target_lost_flow", now));
+    }
+    EraseFlow(id);
+    return;
+  }
+  if (known != flows_.end())
+    EraseFlow(id);
+  if (not_held_.size() < kMaxNotHeld)
+    not_held_[id] = now;
+  GiveBack(delivery, ReturnReason::kNotHeld, packet, now, actions);
+}
+
+void AgentForwarder::GiveBack(const Delivery& delivery,
+                              ReturnReason reason,
+                              absl::Span<const uint8_t> packet,
+                              absl::Time now,
+                              AgentActions& actions) {
+  ReturnedPacket returned;
+  returned.agent = options_.identity;
+  returned.load = load(now);
+  returned.reason = reason;
+  returned.mode = delivery.mode;
+  returned.declined = delivery.declined;
+  returned.packet = packet;
+  actions.to_entries.push_back({delivery.entry, std::move(returned)});
+  if (delivery.mode == ForwardMode::kSearch)
+    return;
+  Decision decision = MakeDecision(DecisionKind::kGivenBack, delivery.flow,
+                                   ReturnReasonName(reason), now);
+  decision.hops = static_cast<uint32_t>(delivery.declined.size());
+  actions.decisions.push_back(decision);
+}
+
+uint32_t AgentForwarder::Deliver(const ForwardedPacket& forwarded,
+                                 const FlowId& flow,
+                                 Endpoint entry,
+                                 AgentActions& actions) {
+  const uint32_t token = next_token_++;
+  Delivery& delivery = deliveries_[token % deliveries_.size()];
+  delivery.token = token;
+  delivery.flow = flow;
+  delivery.entry = entry;
+  delivery.mode = forwarded.mode;
+  delivery.declined = forwarded.declined;
+  actions.to_target.push_back({forwarded.packet, token});
+  return token;
+}
+
+TargetNews AgentForwarder::OnTargetReport(const TargetReport& report,
+                                          absl::Time now,
+                                          AgentActions& actions) {
+  const TargetNews news = target_.OnReport(report, now);
+  if (news == TargetNews::kStartedAgain) {
+    CutFlows("target_started_again", actions);
+    service_time_.Reset();
+  }
+  return news;
+}
+
+bool AgentForwarder::OnTargetLeft(absl::string_view id) {
+  return target_.OnLeave(id);
+}
+
+void AgentForwarder::OnTargetHealthy(uint32_t slots) {
+  target_.OnHealthy(slots);
+  target_.OnAlive();
+}
+
+void AgentForwarder::OnTargetCrashed(absl::Time now, AgentActions& actions) {
+  target_.OnSilent(now);
+  CutFlows("target_crashed", actions);
+}
+
+void AgentForwarder::CutFlows(absl::string_view reason, AgentActions& actions) {
+  for (const auto& [id, flow] : flows_) {
+    if (flow.phase != Phase::kOpen)
+      continue;
+    actions.resets.push_back({id, flow.client_expects});
+    Decision decision;
+    decision.kind = DecisionKind::kCut;
+    decision.flow = id;
+    decision.agent = options_.identity.uid;
+    decision.reason = reason;
+    actions.decisions.push_back(decision);
+  }
+  flows_.clear();
+  unanswered_.clear();
+  busy_ = 0;
+  open_ = 0;
+}
+
+void AgentForwarder::Tick(absl::Time now, AgentActions& actions) {
+  overdue_.clear();
+  while (!unanswered_.empty() && unanswered_.front().deadline <= now) {
+    overdue_.push_back(std::move(unanswered_.front()));
+    unanswered_.pop_front();
+  }
+  for (const Unanswered& unanswered : overdue_) {
+    const auto known = flows_.find(unanswered.flow);
+    if (known == flows_.end() || known->second.phase != Phase::kOpening)
+      continue;
+    target_.OnSilent(now);
+    actions.probe_target = true;
+    EraseFlow(unanswered.flow);
+    const Delivery& delivery =
+        deliveries_[unanswered.token % deliveries_.size()];
+    if (delivery.token == unanswered.token) {
+      GiveBack(delivery, ReturnReason::kTargetSilent, unanswered.packet, now,
+               actions);
+    }
+  }
+  if (now < next_sweep_)
+    return;
+  next_sweep_ = now + kSweepInterval;
+  std::vector<FlowId> expired;
+  for (auto& [id, flow] : flows_) {
+    const absl::Duration age = now - flow.used;
+    if (flow.phase == Phase::kOpening && age > kOpeningLifetime)
+      SetBusy(flow, false);
+    const absl::Duration lifetime =
+        flow.phase == Phase::kEnded ? kEndedLifetime : kIdleLifetime;
+    if (age > lifetime)
+      expired.push_back(id);
+    if (flow.busy && flow.phase == Phase::kOpen)
+      service_time_.RecordUnanswered(now - flow.requested, now);
+  }
+  for (const FlowId& id : expired)
+    EraseFlow(id);
+  absl::erase_if(not_held_, [now](const auto& entry) {
+    return now - entry.second > kNotHeldLifetime;
+  });
+}
+
+absl::Time AgentForwarder::next_deadline() const {
+  if (unanswered_.empty())
+    return next_sweep_;
+  return std::min(next_sweep_, unanswered_.front().deadline);
+}
+
+void AgentForwarder::BeginShutdown() {
+  leaving_ = true;
+}
+
+bool AgentForwarder::is_idle() const {
+  return busy_ == 0;
+}
+
+bool AgentForwarder::is_target_gone(absl::Time now) const {
+  return target_.state(now) == InstanceState::kDown;
+}
+
+AgentLoad AgentForwarder::load(absl::Time now) const {
+  AgentLoad load;
+  load.slots = static_cast<uint16_t>(std::min<uint32_t>(
+      target_.slots(), std::numeric_limits<uint16_t>::max()));
+  load.busy = static_cast<uint16_t>(
+      std::min<uint32_t>(busy_, std::numeric_limits<uint16_t>::max()));
+  load.open_flows = open_;
+  load.service_time_us = static_cast<uint32_t>(
+      std::min<int64_t>(absl::ToInt64Microseconds(service_time_.estimate(now)),
+                        std::numeric_limits<uint32_t>::max()));
+  load.state = target_.state(now);
+  if (leaving_)
+    load.state = std::max(load.state, InstanceState::kLeaving);
+  return load;
+}
+
+void AgentForwarder::SetBusy(Flow& flow, bool busy) {
+  if (flow.busy == busy)
+    return;
+  flow.busy = busy;
+  busy_ += busy ? 1 : -1;
+}
+
+void AgentForwarder::EraseFlow(const FlowId& id) {
+  const auto known = flows_.find(id);
+  if (known == flows_.end())
+    return;
+  SetBusy(known->second, false);
+  if (known->second.phase != Phase::kEnded)
+    --open_;
+  flows_.erase(known);
+}
+
+Decision AgentForwarder::MakeDecision(DecisionKind kind,
+                                      const FlowId& flow,
+                                      absl::string_view reason,
+                                      absl::Time now) const {
+  static_cast<void>(now);
+  Decision decision;
+  decision.kind = kind;
+  decision.flow = flow;
+  decision.agent = options_.identity.uid;
+  decision.reason = reason;
+  decision.busy = busy_;
+  decision.slots = target_.slots();
+  return decision;
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/lib/forwarding/entry_forwarder.cc
@@ -0,0 +1,348 @@
+#include "skylarkshunt/forwarding/entry_forwarder.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace skylarkshunt {
+namespace {
+
+/// Most flows that the cache holds; further ones are found by a search.
+constexpr size_t kMaxCachedFlows = 65'536;
+/// Most searches at a time; further packets are searched for without a count of
+/// the answers, so that they are never answered with a reset.
+constexpr size_t kMaxSearches = 4'096;
+/// Age of an unfinished search at which it is forgotten: a client has sent
+/// several copies by then.
+constexpr absl::Duration kSearchLifetime = absl::Seconds(3);
+/// Flows are kept this long beyond their last packet at least, even if the
+/// configuration says less.
+constexpr absl::Duration kMinIdleTime = absl::Seconds(2);
+/// Time after its start in which an entry may not know all agents yet; it then
+/// says of no flow that it does not exist.
+constexpr absl::Duration kSettleTime = absl::Seconds(2);
+/// Silence of an agent after which the copy of an opening packet goes to
+/// another one: three of its reports.
+constexpr absl::Duration kCopyElsewhereAfter = absl::Milliseconds(300);
+/// Copy of an opening packet behind which no other follows.
+constexpr uint32_t kLastCopy = 2;
+constexpr uint32_t kNoLimit = std::numeric_limits<uint32_t>::max();
+
+/// Marks a packet that the next agent takes in any case.
+void MarkForced(ForwardedPacket& message) {
+  message.declined.resize(kMaxDeclines);
+  message.wait_limit_us = kNoLimit;
+}
+
+bool IsForced(const ReturnedPacket& returned) {
+  return returned.declined.size() >= kMaxDeclines;
+}
+
+}  // namespace
+
+void EntryActions::Clear() {
+  to_agents.clear();
+  resets.clear();
+  decisions.clear();
+}
+
+EntryForwarder::EntryForwarder(uint32_t data_centre, absl::Time started)
+    : data_centre_(data_centre), started_(started) {}
+
+void EntryForwarder::SetRoutes(std::shared_ptr<const RouteTable> routes) {
+  if (routes_ == nullptr || routes->version >= routes_->version)
+    routes_ = std::move(routes);
+}
+
+void EntryForwarder::OnClientPacket(const PacketHeader& header,
+                                    absl::Span<const uint8_t> packet,
+                                    absl::Time now,
+                                    EntryActions& actions) {
+  const FlowId flow = header.flow_from_client();
+  if (routes_ == nullptr) {
+    actions.decisions.push_back(
+        MakeDecision(DecisionKind::kHeldBack, flow, "no_configuration"));
+    return;
+  }
+  const Route* route = routes_->Find(header.destination);
+  if (route == nullptr) {
+    flows_.erase(flow);
+    Refuse(flow, header, "no_route", actions);
+    return;
+  }
+  if (header.opening) {
+    Open(*route, flow, header, packet, now, actions);
+    return;
+  }
+  const auto cached = flows_.find(flow);
+  AgentView* agent =
+      cached == flows_.end() ? nullptr : agents_.Find(cached->second.agent);
+  if (agent == nullptr) {
+    SearchFlow(*route, flow, header, packet, now, actions);
+    return;
+  }
+  cached->second.used = now;
+  ForwardedPacket message;
+  message.mode = ForwardMode::kEstablished;
+  message.service = agent->identity.service;
+  message.kind = route->kind;
+  message.packet = packet;
+  actions.to_agents.push_back({agent->endpoint, message});
+}
+
+void EntryForwarder::Open(const Route& route,
+                          const FlowId& flow,
+                          const PacketHeader& header,
+                          absl::Span<const uint8_t> packet,
+                          absl::Time now,
+                          EntryActions& actions) {
+  ForwardedPacket message;
+  message.mode = ForwardMode::kOpening;
+  message.service = ChooseService(route, flow);
+  message.kind = route.kind;
+  message.wait_limit_us = kNoLimit;
+  message.packet = packet;
+  const auto cached = flows_.find(flow);
+  if (cached != flows_.end()) {
+    AgentView* agent = agents_.Find(cached->second.agent);
+    if (agent != nullptr && now - agent->heard < kCopyElsewhereAfter &&
+        agent->identity.service == message.service) {
+      cached->second.used = now;
+      actions.to_agents.push_back({agent->endpoint, message});
+      return;
+    }
+    message.declined.push_back(cached->second.agent);
+  }
+  if (agents_.OfService(message.service).empty() &&
+      now - started_ < kSettleTime && header.acknowledged < kLastCopy) {
+    actions.decisions.push_back(
+        MakeDecision(DecisionKind::kHeldBack, flow, "no_agent_yet"));
+    return;
+  }
+  Place(route, flow, std::move(message), DecisionKind::kPlaced, now, actions);
+}
+
+void EntryForwarder::Place(const Route& route,
+                           const FlowId& flow,
+                           ForwardedPacket message,
+                           DecisionKind kind,
+                           absl::Time now,
+                           EntryActions& actions) {
+  PlacementRequest request;
+  request.service = message.service;
+  request.data_centre = data_centre_;
+  request.flow_hash = StableFlowHash(flow);
+  request.declined = message.declined;
+  const absl::optional<Placement> placement = PlaceFlow(agents_, request, now);
+  if (!placement.has_value()) {
+    PlaceAnywhere(route, flow, std::move(message), now, actions);
+    return;
+  }
+  AgentView& agent = *placement->agent;
+  message.wait_limit_us = placement->wait_limit_us;
+  Decision decision = MakeDecision(kind, flow, "least_expected_time");
+  decision.agent = agent.identity.uid;
+  decision.view_age = now - agent.heard;
+  decision.time = absl::Microseconds(placement->wait_us);
+  decision.busy = agent.load.busy;
+  decision.slots = agent.load.slots;
+  decision.hops = static_cast<uint32_t>(message.declined.size());
+  actions.decisions.push_back(decision);
+  if (now - agent.last_sent > kAgentReportInterval)
+    agent.unreported = 0;
+  ++agent.unreported;
+  agent.last_sent = now;
+  Remember(flow, agent.identity.uid, now);
+  actions.to_agents.push_back({agent.endpoint, std::move(message)});
+}
+
+/// All agents that accept flows have passed the packet over: the one with the
+/// least load takes it.
+void EntryForwarder::PlaceAnywhere(const Route& route,
+                                   const FlowId& flow,
+                                   ForwardedPacket message,
+                                   absl::Time now,
+                                   EntryActions& actions) {
+  PlacementRequest request;
+  request.service = message.service;
+  request.data_centre = data_centre_;
+  request.flow_hash = StableFlowHash(flow);
+  const absl::optional<Placement> placement = PlaceFlow(agents_, request, now);
+  if (!placement.has_value() || message.declined.empty()) {
+    PacketHeader header;
+    header.opening = true;
+    Refuse(flow, header, "no_agent", actions);
+    return;
+  }
+  Decision decision =
+      MakeDecision(DecisionKind::kPlacedAgain, flow, "all_declined");
+  decision.agent = placement->agent->identity.uid;
+  decision.time = absl::Microseconds(placement->wait_us);
+  decision.busy = placement->agent->load.busy;
+  decision.slots = placement->agent->load.slots;
+  decision.hops = static_cast<uint32_t>(message.declined.size());
+  actions.decisions.push_back(decision);
+  MarkForced(message);
+  Remember(flow, placement->agent->identity.uid, now);
+  actions.to_agents.push_back({placement->agent->endpoint, std::move(message)});
+  static_cast<void>(route);
+}
+
+void EntryForwarder::SearchFlow(const Route& route,
+                                const FlowId& flow,
+                                const PacketHeader& header,
+                                absl::Span<const uint8_t> packet,
+                                absl::Time now,
+                                EntryActions& actions) {
+  static_cast<void>(header);
+  if (searches_.size() < kMaxSearches) {
+    const bool started = searches_.try_emplace(flow, Search{now, {}}).second;
+    if (started)
+      actions.decisions.push_back(
+          MakeDecision(DecisionKind::kSearched, flow, "not_cached"));
+  }
+  ForwardedPacket message;
+  message.mode = ForwardMode::kSearch;
+  message.kind = route.kind;
+  message.packet = packet;
+  for (const RouteShare& share : route.shares) {
+    message.service = share.service;
+    for (const AgentView& agent : agents_.OfService(share.service)) {
+      if (agent.load.state != InstanceState::kDown)
+        actions.to_agents.push_back({agent.endpoint, message});
+    }
+  }
+}
+
+void EntryForwarder::OnReturned(const ReturnedPacket& returned,
+                                const PacketHeader& header,
+                                Endpoint agent,
+                                absl::Time now,
+                                EntryActions& actions) {
+  agents_.Update(returned.agent, returned.load, agent, now);
+  const FlowId flow = header.flow_from_client();
+  const Route* route =
+      routes_ == nullptr ? nullptr : routes_->Find(header.destination);
+  if (route == nullptr) {
+    Refuse(flow, header, "no_route", actions);
+    return;
+  }
+  if (!header.opening) {
+    if (returned.mode == ForwardMode::kSearch) {
+      NoteNotHeld(returned, *route, flow, header, now, actions);
+      return;
+    }
+    const auto cached = flows_.find(flow);
+    if (cached != flows_.end() && cached->second.agent == returned.agent.uid)
+      flows_.erase(cached);
+    SearchFlow(*route, flow, header, returned.packet, now, actions);
+    return;
+  }
+  if (IsForced(returned)) {
+    flows_.erase(flow);
+    Refuse(flow, header, ReturnReasonName(returned.reason), actions);
+    return;
+  }
+  ForwardedPacket message;
+  message.mode = ForwardMode::kOpening;
+  message.service = ChooseService(*route, flow);
+  message.kind = route->kind;
+  message.declined = returned.declined;
+  message.declined.push_back(returned.agent.uid);
+  message.packet = returned.packet;
+  Place(*route, flow, std::move(message), DecisionKind::kPlacedAgain, now,
+        actions);
+}
+
+void EntryForwarder::NoteNotHeld(const ReturnedPacket& returned,
+                                 const Route& route,
+                                 const FlowId& flow,
+                                 const PacketHeader& header,
+                                 absl::Time now,
+                                 EntryActions& actions) {
+  const auto found = searches_.find(flow);
+  if (found == searches_.end())
+    return;
+  auto& not_held = found->second.not_held;
+  if (std::find(not_held.begin(), not_held.end(), returned.agent.uid) ==
+      not_held.end()) {
+    not_held.push_back(returned.agent.uid);
+  }
+  if (now - started_ < kSettleTime)
+    return;
+  for (const RouteShare& share : route.shares) {
+    if (!agents_.IsComplete(share.service, now))
+      return;
+    for (const AgentView& agent : agents_.OfService(share.service)) {
+      const bool answered = agent.load.state == InstanceState::kDown ||
+                            std::find(not_held.begin(), not_held.end(),
+                                      agent.identity.uid) != not_held.end();
+      if (!answered)
+        return;
+    }
+  }
+  searches_.erase(found);
+  if (header.reset)
+    return;
+  actions.resets.push_back({flow, header.acknowledged});
+  actions.decisions.push_back(
+      MakeDecision(DecisionKind::kCut, flow, "no_target_holds_it"));
+}
+
+void EntryForwarder::OnPlaced(const FlowPlaced& placed,
+                              Endpoint agent,
+                              absl::Time now,
+                              EntryActions& actions) {
+  agents_.Update(placed.agent, placed.load, agent, now);
+  Remember(placed.flow, placed.agent.uid, now);
+  if (searches_.erase(placed.flow) > 0) {
+    Decision decision =
+        MakeDecision(DecisionKind::kFound, placed.flow, "agent_holds_it");
+    decision.agent = placed.agent.uid;
+    actions.decisions.push_back(decision);
+  }
+}
+
+void EntryForwarder::Refuse(const FlowId& flow,
+                            const PacketHeader& header,
+                            absl::string_view reason,
+                            EntryActions& actions) const {
+  if (header.reset)
+    return;
+  actions.resets.push_back({flow, header.acknowledged});
+  actions.decisions.push_back(
+      MakeDecision(DecisionKind::kRefused, flow, reason));
+}
+
+void EntryForwarder::Remember(const FlowId& flow,
+                              InstanceUid agent,
+                              absl::Time now) {
+  if (flows_.size() >= kMaxCachedFlows && !flows_.contains(flow))
+    return;
+  flows_[flow] = CachedFlow{agent, now};
+}
+
+void EntryForwarder::ForgetIdle(absl::Time now) {
+  const absl::Duration idle =
+      std::max(kMinIdleTime, routes_ == nullptr ? absl::ZeroDuration()
+                                                : routes_->idle_timeout);
+  absl::erase_if(flows_, [now, idle](const auto& flow) {
+    return now - flow.second.used > idle;
+  });
+  absl::erase_if(searches_, [now](const auto& search) {
+    return now - search.second.started > kSearchLifetime;
+  });
+}
+
+Decision EntryForwarder::MakeDecision(DecisionKind kind,
+                                      const FlowId& flow,
+                                      absl::string_view reason) const {
+  Decision decision;
+  decision.kind = kind;
+  decision.flow = flow;
+  decision.reason = reason;
+  decision.configuration = routes_ == nullptr ? 0 : routes_->version;
+  return decision;
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/lib/forwarding/load_model.cc
@@ -0,0 +1,87 @@
+#include "skylarkshunt/forwarding/load_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace skylarkshunt {
+namespace {
+
+/// Weight of one more sample once enough have come: about ten samples decide,
+/// which a target at half load gives within a quarter of a second.
+constexpr double kSampleWeight = 0.12;
+/// A request that runs this many times longer than the estimate is evidence of
+/// a slow target before it ends; 3% of requests run 7 times the mean.
+constexpr double kUnansweredFactor = 8.0;
+
+/// Age up to which the last answer stands for the target.
+constexpr absl::Duration kFreshFor = absl::Milliseconds(500);
+/// Time without answers in which an older estimate halves: a target that was
+/// five times slower is tried again after less than two seconds.
+constexpr absl::Duration kHalvedAfter = absl::Milliseconds(600);
+
+}  // namespace
+
+uint32_t ServiceTimeUs(const AgentLoad& load) {
+  return load.service_time_us != 0
+             ? load.service_time_us
+             : static_cast<uint32_t>(
+                   absl::ToInt64Microseconds(kInitialServiceTime));
+}
+
+uint32_t ExpectedWaitUs(const AgentLoad& load, uint32_t additional) {
+  if (load.slots == 0)
+    return std::numeric_limits<uint32_t>::max();
+  const uint64_t present = uint64_t{load.busy} + additional + 1;
+  if (present <= load.slots)
+    return 0;
+  const uint64_t wait =
+      (present - load.slots) * ServiceTimeUs(load) / load.slots;
+  return static_cast<uint32_t>(
+      std::min<uint64_t>(wait, std::numeric_limits<uint32_t>::max() - 1));
+}
+
+void ServiceTimeModel::Reset() {
+  samples_ = 0;
+}
+
+void ServiceTimeModel::Record(absl::Duration elapsed,
+                              uint32_t busy,
+                              uint32_t slots,
+                              absl::Time now) {
+  double factor = 1.0;
+  if (slots > 0 && busy + 1 > slots)
+    factor += static_cast<double>(busy + 1 - slots) / slots;
+  const double sample =
+      std::log(std::max(1.0, absl::ToDoubleMicroseconds(elapsed) / factor));
+  // After a pause the target may have changed: the next answers count more.
+  if (samples_ > 1 && now - sampled_ > kFreshFor)
+    samples_ = 1;
+  ++samples_;
+  const double weight =
+      samples_ == 1 ? 1.0 : std::max(kSampleWeight, 1.0 / samples_);
+  log_us_ += weight * (sample - log_us_);
+  sampled_ = now;
+}
+
+void ServiceTimeModel::RecordUnanswered(absl::Duration elapsed,
+                                        absl::Time now) {
+  if (samples_ == 0)
+    return;
+  const double sample = absl::ToDoubleMicroseconds(elapsed) / kUnansweredFactor;
+  if (sample <= std::exp(log_us_))
+    return;
+  log_us_ = std::log(sample);
+  sampled_ = now;
+}
+
+absl::Duration ServiceTimeModel::estimate(absl::Time now) const {
+  if (samples_ == 0)
+    return absl::ZeroDuration();
+  const absl::Duration stale = now - sampled_ - kFreshFor;
+  const double halvings =
+      stale > absl::ZeroDuration() ? stale / kHalvedAfter : 0.0;
+  return absl::Microseconds(std::exp(log_us_ - halvings * M_LN2));
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/lib/forwarding/node_directory.cc
@@ -0,0 +1,117 @@
+#include "skylarkshunt/forwarding/node_directory.h"
+
+#include <algorithm>
+
+namespace skylarkshunt {
+namespace {
+
+/// Most addresses kept; at the limit, new ones are ignored until silent ones
+/// are forgotten.
+constexpr size_t kMaxNodes = 8'192;
+/// Time in which a new address is tried often: nodes that start together come
+/// up within this.
+constexpr absl::Duration kEagerTime = absl::Seconds(5);
+constexpr absl::Duration kEagerInterval = absl::Milliseconds(200);
+/// Time between two tries of an address where nobody answers.
+constexpr absl::Duration kSilentInterval = absl::Seconds(1);
+/// Silence after which an address is forgotten. A machine that starts again
+/// makes itself known.
+constexpr absl::Duration kForgottenAfter = absl::Seconds(60);
+
+}  // namespace
+
+NodeDirectory::NodeDirectory(Role self,
+                             uint32_t address,
+                             absl::Duration interval,
+                             absl::Span<const uint32_t> seeds,
+                             absl::Time now)
+    : self_(self), address_(address), interval_(interval) {
+  for (const uint32_t seed : seeds) {
+    Learn({seed, Role::kEntry}, now);
+    const auto known = nodes_.find(seed);
+    if (known != nodes_.end())
+      known->second.seed = true;
+  }
+}
+
+bool NodeDirectory::Wanted(const NodeAddress& node) const {
+  return node.address != address_ &&
+         (self_ == Role::kEntry || node.role == Role::kEntry);
+}
+
+void NodeDirectory::Learn(NodeAddress node, absl::Time now) {
+  if (!Wanted(node) || nodes_.size() >= kMaxNodes)
+    return;
+  Known known;
+  known.role = node.role;
+  known.learned = now;
+  known.due = now;
+  nodes_.try_emplace(node.address, known);
+}
+
+bool NodeDirectory::Heard(NodeAddress node, absl::Time now) {
+  Learn(node, now);
+  const auto found = nodes_.find(node.address);
+  if (found == nodes_.end())
+    return false;
+  Known& known = found->second;
+  known.role = node.role;
+  const bool absent = now - known.heard > kNodePresentFor;
+  known.heard = now;
+  if (absent)
+    known.due = now;
+  return absent;
+}
+
+absl::Duration NodeDirectory::IntervalOf(const Known& known,
+                                         absl::Time now) const {
+  if (now - known.heard <= kNodePresentFor)
+    return interval_;
+  return now - known.learned <= kEagerTime ? kEagerInterval : kSilentInterval;
+}
+
+void NodeDirectory::TakeDue(absl::Time now, std::vector<uint32_t>& due) {
+  for (auto& [address, known] : nodes_) {
+    if (known.due > now)
+      continue;
+    due.push_back(address);
+    known.due = now + IntervalOf(known, now);
+  }
+}
+
+void NodeDirectory::MakeAllDue() {
+  for (auto& [address, known] : nodes_)
+    known.due = absl::InfinitePast();
+}
+
+void NodeDirectory::ForgetSilent(absl::Time now) {
+  absl::erase_if(nodes_, [now](const auto& node) {
+    const Known& known = node.second;
+    return !known.seed &&
+           now - std::max(known.heard, known.learned) > kForgottenAfter;
+  });
+}
+
+std::vector<NodeAddress> NodeDirectory::Present(absl::Time now,
+                                                size_t limit) const {
+  std::vector<NodeAddress> present;
+  for (const auto& [address, known] : nodes_) {
+    if (now - known.heard <= kNodePresentFor)
+      present.push_back({address, known.role});
+  }
+  std::stable_partition(
+      present.begin(), present.end(),
+      [](const NodeAddress& node) { return node.role == Role::kEntry; });
+  if (present.size() > limit)
+    present.resize(limit);
+  return present;
+}
+
+bool NodeDirectory::HasPresentEntry(absl::Time now) const {
+  return std::any_of(nodes_.begin(), nodes_.end(), [now](const auto& node) {
+    return node.second.role == Role::kEntry &&
+           now - node.second.heard <= kNodePresentFor;
+  });
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/lib/forwarding/target_state.cc
@@ -0,0 +1,90 @@
+#include "skylarkshunt/forwarding/target_state.h"
+
+#include <utility>
+
+namespace skylarkshunt {
+namespace {
+
+/// Missed reports after which a target counts as silent.
+constexpr int kMissedReports = 3;
+/// Sequence numbers up to this one are taken for the first report; a target
+/// counts from 0 or 1.
+constexpr uint64_t kFirstSequence = 1;
+
+}  // namespace
+
+TargetState::TargetState(std::string service, absl::Duration interval)
+    : service_(std::move(service)), interval_(interval) {}
+
+TargetNews TargetState::OnReport(const TargetReport& report, absl::Time now) {
+  if (report.service != service_)
+    return TargetNews::kForeign;
+  const bool another =
+      reported_ &&
+      (report.id != id_ || report.started_unix_ms != started_unix_ms_);
+  // A report that was held up on its way may come after the target's next
+  // incarnation has reported.
+  if (another && report.started_unix_ms < started_unix_ms_)
+    return TargetNews::kNone;
+  if (reported_ && !another && (report.sequence <= sequence_ || left_))
+    return TargetNews::kNone;
+  const bool first = !reported_;
+  const bool was_accepting = state(now) == InstanceState::kServing;
+  if (first || another)
+    seen_from_start_ = another || report.sequence <= kFirstSequence;
+  known_ = true;
+  reported_ = true;
+  left_ = false;
+  silent_ = false;
+  id_ = report.id;
+  started_unix_ms_ = report.started_unix_ms;
+  sequence_ = report.sequence;
+  slots_ = report.slots;
+  draining_ = report.draining;
+  heard_ = now;
+  if (another)
+    return TargetNews::kStartedAgain;
+  if (first)
+    return TargetNews::kAppeared;
+  const bool accepting = state(now) == InstanceState::kServing;
+  return accepting == was_accepting ? TargetNews::kNone : TargetNews::kState;
+}
+
+bool TargetState::OnLeave(absl::string_view id) {
+  if (reported_ && id != id_)
+    return false;
+  left_ = true;
+  return true;
+}
+
+void TargetState::OnHealthy(uint32_t slots) {
+  if (reported_)
+    return;
+  known_ = true;
+  slots_ = slots;
+}
+
+void TargetState::OnSilent(absl::Time now) {
+  static_cast<void>(now);
+  silent_ = true;
+}
+
+void TargetState::OnAlive() {
+  silent_ = false;
+}
+
+void TargetState::OnCrashed() {
+  silent_ = true;
+}
+
+InstanceState TargetState::state(absl::Time now) const {
+  if (!known_ || left_)
+    return InstanceState::kDown;
+  if (draining_)
+    return InstanceState::kDraining;
+  if (silent_ || (reported_ && now - heard_ > kMissedReports * interval_))
+    return InstanceState::kEjected;
+  return InstanceState::kServing;
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/lib/http/http_client.cc
@@ -0,0 +1,134 @@
+#include "skylarkshunt/http/http_client.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+
+#include "absl/strings/str_cat.h"
+
+namespace skylarkshunt {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+/// Silence on a connection after which the kernel probes the peer, and the time
+/// between probes: a connection that fell silent is given up after 3 s, which
+/// is the tightest bound that a configuration change has.
+constexpr int kKeepAliveSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr int kUserTimeoutMs = 3000;
+
+void SetLivenessOptions(int fd) {
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveSeconds,
+             sizeof(kKeepAliveSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveSeconds,
+             sizeof(kKeepAliveSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
+             sizeof(kKeepAliveProbes));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+             sizeof(kUserTimeoutMs));
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+/// One call in progress. Each step starts the next one when it has succeeded.
+class CallInProgress {
+ public:
+  explicit CallInProgress(const HttpCall& call)
+      : stream_(context_),
+        end_(std::chrono::steady_clock::now() +
+             absl::ToChronoMicroseconds(call.timeout)) {
+    request_.method_string(call.method);
+    request_.target(call.target);
+    request_.version(11);
+    request_.set(http::field::host, call.server.ToString());
+    request_.set(http::field::connection, "close");
+    if (!call.body.empty()) {
+      request_.set(http::field::content_type, "application/json");
+      request_.body() = call.body;
+    }
+    request_.prepare_payload();
+    parser_.body_limit(call.max_answer_bytes);
+    server_ = {asio::ip::address_v4(call.server.address), call.server.port};
+  }
+
+  Result<HttpAnswer> Run() {
+    stream_.expires_at(end_);
+    stream_.async_connect(server_, [this](beast::error_code error) {
+      error_ = error;
+      if (error)
+        return;
+      SetLivenessOptions(stream_.socket().native_handle());
+      Send();
+    });
+    context_.run();
+    if (!error_)
+      return HttpAnswer{static_cast<int>(parser_.get().result_int()),
+                        std::move(parser_.get().body())};
+    const std::string message = absl::StrCat(
+        "call of ", std::string(request_.target()), ": ", error_.message());
+    if (!connected_ && error_ == asio::error::connection_refused) {
+      return MakeError(ErrorKind::kRefused, message,
+                       "check the port and whether the server runs");
+    }
+    if (!connected_) {
+      return MakeError(ErrorKind::kUnavailable, message,
+                       "check the address and whether the server is up");
+    }
+    return MakeError(ErrorKind::kOutcomeUnknown, message,
+                     "read the state back before any other change");
+  }
+
+ private:
+  void Send() {
+    connected_ = true;
+    http::async_write(stream_, request_,
+                      [this](beast::error_code error, size_t) {
+                        error_ = error;
+                        if (!error)
+                          Receive();
+                      });
+  }
+
+  void Receive() {
+    http::async_read(
+        stream_, buffer_, parser_,
+        [this](beast::error_code error, size_t) { error_ = error; });
+  }
+
+  asio::io_context context_{1};
+  beast::tcp_stream stream_;
+  const std::chrono::steady_clock::time_point end_;
+  asio::ip::tcp::endpoint server_;
+  http::request<http::string_body> request_;
+  http::response_parser<http::string_body> parser_;
+  beast::flat_buffer buffer_;
+  beast::error_code error_;
+  bool connected_ = false;
+};
+
+}  // namespace
+
+Result<HttpAnswer> Call(const HttpCall& call) {
+  try {
+    CallInProgress progress(call);
+    return progress.Run();
+  } catch (const std::exception& error) {
+    // Asio throws where it cannot open a descriptor.
+    return MakeError(ErrorKind::kSystem, error.what(),
+                     "raise the limit of open files");
+  }
+}
+
+}  // namespace skylarkshunt
--- a/lib/net/loop_thread.cc
+++ b/lib/net/loop_thread.cc
@@ -6,6 +6,10 @@
 namespace skylarkshunt {
 
 LoopThread::~LoopThread() {
+  Stop();
+}
+
+void LoopThread::Stop() {
   if (!thread_.joinable())
     return;
   stop_.store(true);
--- /dev/null
+++ b/lib/node/agent_loop.cc
@@ -0,0 +1,340 @@
+#include <algorithm>
+#include <atomic>
+#include <utility>
+
+#include "data_loop.h"
+#include "decision_log.h"
+#include "node_channel.h"
+#include "skylarkshunt/base/bounded_ring.h"
+#include "skylarkshunt/base/event.h"
+#include "skylarkshunt/base/hash.h"
+#include "skylarkshunt/forwarding/agent_directory.h"
+#include "skylarkshunt/forwarding/agent_forwarder.h"
+#include "skylarkshunt/forwarding/node_directory.h"
+#include "skylarkshunt/net/loop_thread.h"
+#include "skylarkshunt/net/poller.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr EventId kTargetAppeared{3110, "target_appeared"};
+constexpr EventId kTargetStartedAgain{3111, "target_started_again"};
+constexpr EventId kTargetStateChanged{3112, "target_state_changed"};
+constexpr EventId kTargetForeign{3113, "target_of_another_service"};
+constexpr EventId kTargetLeft{3114, "target_left"};
+constexpr EventId kTargetProbed{3115, "target_probed"};
+constexpr EventId kSuspended{1012, "agent_was_suspended"};
+
+/// An agent that ends keeps forwarding for this long at least, so that its last
+/// reports reach the entries and their packets in flight arrive.
+constexpr absl::Duration kLeaveAtLeast = absl::Milliseconds(150);
+/// Time kept free before the process is killed.
+constexpr absl::Duration kLeaveMargin = absl::Seconds(1);
+
+class AgentLoop : public DataLoop {
+ public:
+  AgentLoop(const Options& options,
+            UdpSocket target,
+            UdpSocket peers,
+            Wakeup wakeup)
+      : options_(options),
+        target_(std::move(target)),
+        channel_(std::move(peers), options.node.peers.port, *options.counters),
+        wakeup_(std::move(wakeup)),
+        log_(*options.counters),
+        malformed_(options.counters->Find(
+            "skylarkshunt_packets_malformed_total",
+            "Packets of clients or targets that were refused.")),
+        packets_(options.counters->Find("skylarkshunt_packets_total",
+                                        "Packets of clients or targets.")),
+        commands_(kMaxDataCommands, [this] { wakeup_.Notify(); }),
+        started_(MonotonicNow()),
+        identity_(MakeIdentity(options)),
+        forwarder_({identity_, options.node.service,
+                    options.node.target_report_interval},
+                   started_),
+        nodes_(Role::kAgent,
+               options.node.peers.address,
+               kAgentReportInterval,
+               options.node.seeds,
+               started_),
+        last_round_(started_),
+        next_sweep_(started_),
+        thread_(wakeup_) {}
+
+  void Start() override {
+    thread_.Start([this] { Step(); });
+  }
+  void Stop() override { thread_.Stop(); }
+  bool Command(DataCommand command) override {
+    return commands_.TryPush(std::move(command));
+  }
+  bool is_ready() const override { return ready_.load(); }
+  bool is_connected() const override { return connected_.load(); }
+  bool ended() const override { return ended_.load(); }
+
+ private:
+  struct CommandHandler {
+    AgentLoop& loop;
+    absl::Time now;
+
+    void operator()(const ConfigurationInForce& configuration) const {
+      loop.configuration_ = configuration.revision;
+    }
+    void operator()(const NodeAddress& node) const {
+      loop.nodes_.Learn(node, now);
+    }
+    void operator()(const TargetReport& report) const {
+      const TargetNews news =
+          loop.forwarder_.OnTargetReport(report, now, loop.actions_);
+      loop.Execute(now);
+      loop.LogReport(report, news, now);
+      if (news != TargetNews::kNone)
+        loop.nodes_.MakeAllDue();
+    }
+    void operator()(const TargetLeft& left) const {
+      const bool known = loop.forwarder_.OnTargetLeft(left.id);
+      LogLine(kTargetLeft)
+          .Field("target", left.id)
+          .Field("known", known ? "true" : "false");
+      loop.nodes_.MakeAllDue();
+    }
+    void operator()(const TargetProbe& probe) const {
+      LogLine(kTargetProbed)
+          .Field("outcome", probe == TargetProbe::kHealthy   ? "healthy"
+                            : probe == TargetProbe::kRefused ? "refused"
+                                                             : "unclear");
+      if (probe == TargetProbe::kRefused)
+        loop.forwarder_.OnTargetCrashed(now, loop.actions_);
+      loop.Execute(now);
+    }
+    void operator()(const BeginShutdownCommand&) const {
+      if (loop.leaving_)
+        return;
+      loop.leaving_ = true;
+      loop.leaving_since_ = now;
+      loop.forwarder_.BeginShutdown();
+      loop.nodes_.MakeAllDue();
+    }
+  };
+
+  struct MessageHandler {
+    AgentLoop& loop;
+    Endpoint source;
+    absl::Time now;
+
+    void operator()(const EntryReport& report) const {
+      loop.last_heard_ = now;
+      loop.nodes_.Heard({source.address, Role::kEntry}, now);
+      for (const NodeAddress& node : report.nodes)
+        loop.nodes_.Learn(node, now);
+      if (ToNumber(report.configuration) > ToNumber(loop.configuration_))
+        loop.options_.notices.on_revision(source.address, report.configuration);
+    }
+    void operator()(const ForwardedPacket& forwarded) const {
+      const Result<PacketHeader> header =
+          loop.options_.packets->Read(forwarded.packet);
+      if (!header.has_value()) {
+        loop.malformed_.Increment();
+        return;
+      }
+      loop.forwarder_.OnForwarded(forwarded, header.value(), source, now,
+                                  loop.actions_);
+      loop.Execute(now);
+    }
+    // These go to entries only.
+    void operator()(const AgentReport&) const {}
+    void operator()(const ReturnedPacket&) const {}
+    void operator()(const FlowPlaced&) const {}
+  };
+
+  static AgentIdentity MakeIdentity(const Options& options) {
+    AgentIdentity identity;
+    identity.service = MakeServiceUid(options.node.service);
+    identity.uid =
+        MakeTargetUid(identity.service, options.node.target.ToString());
+    identity.incarnation = options.incarnation;
+    identity.data_centre =
+        static_cast<uint32_t>(StableHash(options.node.data_centre, 0));
+    return identity;
+  }
+
+  void Step() {
+    const absl::Time before = MonotonicNow();
+    const absl::Time due = std::min(forwarder_.next_deadline(),
+                                    last_report_ + kAgentReportInterval);
+    WaitReadable({target_.fd(), channel_.fd(), wakeup_.fd()},
+                 std::max(absl::Milliseconds(1), due - before));
+    const absl::Time now = MonotonicNow();
+    if (now - last_round_ > kSuspendedGap)
+      DiscardOld(now - last_round_);
+    last_round_ = now;
+    wakeup_.Drain();
+    while (absl::optional<DataCommand> command = commands_.TryPop())
+      std::visit(CommandHandler{*this, now}, *command);
+    ReceiveFromTarget(now);
+    channel_.Receive([this, now](Endpoint source, const NodeMessage& message) {
+      std::visit(MessageHandler{*this, source, now}, message);
+    });
+    forwarder_.Tick(now, actions_);
+    Execute(now);
+    SendReports(now);
+    if (now >= next_sweep_) {
+      next_sweep_ = now + absl::Seconds(1);
+      nodes_.ForgetSilent(now);
+      log_.ReportLeftOut(now);
+    }
+    UpdateState(now);
+  }
+
+  void ReceiveFromTarget(absl::Time now) {
+    for (int i = 0; i < kDatagramBatch; ++i) {
+      const absl::optional<Datagram> datagram = target_.Receive();
+      if (!datagram.has_value())
+        return;
+      const Result<PacketHeader> header =
+          options_.packets->Read(datagram->bytes);
+      if (!header.has_value()) {
+        malformed_.Increment();
+        continue;
+      }
+      packets_.Increment();
+      forwarder_.OnTargetPacket(header.value(), datagram->bytes, now, actions_);
+      Execute(now);
+    }
+  }
+
+  void Execute(absl::Time now) {
+    for (const AgentActions::ToTarget& action : actions_.to_target) {
+      packet_.assign(action.packet.begin(), action.packet.end());
+      options_.packets->SetReturnToken(absl::MakeSpan(packet_),
+                                       action.return_token);
+      target_.Send(options_.node.target, packet_);
+    }
+    for (const AgentActions::ToClient& action : actions_.to_clients) {
+      channel_.SendRaw({action.client_address, options_.node.client_port},
+                       action.packet);
+    }
+    for (AgentActions::ToEntry& action : actions_.to_entries) {
+      ClearReturnMark(action.message);
+      channel_.Send(action.entry, action.message);
+    }
+    for (const AgentActions::ResetClient& reset : actions_.resets) {
+      channel_.SendRaw({reset.flow.client.address, options_.node.client_port},
+                       options_.packets->MakeReset(reset.flow, reset.sequence));
+    }
+    for (const Decision& decision : actions_.decisions)
+      log_.Record(now, decision);
+    if (actions_.probe_target)
+      options_.notices.on_target_doubtful();
+    actions_.Clear();
+  }
+
+  /// A packet that the target returned is again what its client sent.
+  void ClearReturnMark(NodeMessage& message) {
+    auto* returned = std::get_if<ReturnedPacket>(&message);
+    if (returned == nullptr)
+      return;
+    packet_.assign(returned->packet.begin(), returned->packet.end());
+    options_.packets->SetReturnToken(absl::MakeSpan(packet_), 0);
+    returned->packet = packet_;
+  }
+
+  void SendReports(absl::Time now) {
+    due_.clear();
+    nodes_.TakeDue(now, due_);
+    last_report_ = now;
+    if (due_.empty())
+      return;
+    AgentReport report;
+    report.agent = identity_;
+    report.sequence = ++sequence_;
+    report.load = forwarder_.load(now);
+    report.configuration = configuration_;
+    const NodeMessage message = report;
+    for (const uint32_t address : due_)
+      channel_.SendToNode(address, message);
+  }
+
+  void LogReport(const TargetReport& report, TargetNews news, absl::Time now) {
+    if (news == TargetNews::kNone)
+      return;
+    const EventId event = news == TargetNews::kAppeared ? kTargetAppeared
+                          : news == TargetNews::kStartedAgain
+                              ? kTargetStartedAgain
+                          : news == TargetNews::kForeign ? kTargetForeign
+                                                         : kTargetStateChanged;
+    LogLine(event)
+        .Field("target", report.id)
+        .Field("service", report.service)
+        .Field("started_ms", report.started_unix_ms)
+        .Field("sequence", report.sequence)
+        .Field("slots", report.slots)
+        .Field("draining", report.draining ? "true" : "false")
+        .Field("warmup_ms", absl::ToInt64Milliseconds(report.warmup_left))
+        .Field("state", InstanceStateName(forwarder_.load(now).state));
+  }
+
+  void DiscardOld(absl::Duration gap) {
+    size_t dropped = channel_.Discard();
+    while (target_.Receive().has_value())
+      ++dropped;
+    LogLine(kSuspended, Severity::kWarning)
+        .Field("gap_ms", absl::ToInt64Milliseconds(gap))
+        .Field("datagrams_dropped", dropped);
+  }
+
+  void UpdateState(absl::Time now) {
+    connected_.store(now - last_heard_ < kNodePresentFor);
+    ready_.store(forwarder_.load(now).accepts_flows());
+    if (!leaving_)
+      return;
+    const absl::Duration leaving = now - leaving_since_;
+    const bool done = forwarder_.is_idle() || forwarder_.is_target_gone(now);
+    if ((done && leaving >= kLeaveAtLeast) ||
+        leaving >= options_.node.shutdown_limit - kLeaveMargin) {
+      ended_.store(true);
+    }
+  }
+
+  const Options options_;
+  UdpSocket target_;
+  NodeChannel channel_;
+  Wakeup wakeup_;
+  DecisionLog log_;
+  Counter& malformed_;
+  Counter& packets_;
+  BoundedRing<DataCommand> commands_;
+  const absl::Time started_;
+  const AgentIdentity identity_;
+  AgentForwarder forwarder_;
+  NodeDirectory nodes_;
+  AgentActions actions_;
+  std::vector<uint8_t> packet_;
+  std::vector<uint32_t> due_;
+  Revision configuration_{};
+  uint64_t sequence_ = 0;
+  absl::Time last_round_;
+  absl::Time last_report_ = absl::InfinitePast();
+  absl::Time next_sweep_;
+  absl::Time last_heard_ = absl::InfinitePast();
+  bool leaving_ = false;
+  absl::Time leaving_since_;
+  std::atomic<bool> ready_{false};
+  std::atomic<bool> connected_{false};
+  std::atomic<bool> ended_{false};
+  LoopThread thread_;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<DataLoop>> OpenAgentLoop(
+    const DataLoop::Options& options) {
+  BOOST_OUTCOME_TRY(target, UdpSocket::Bind(options.node.target_packets));
+  BOOST_OUTCOME_TRY(peers, UdpSocket::Bind(options.node.peers));
+  BOOST_OUTCOME_TRY(wakeup, Wakeup::Create());
+  return std::unique_ptr<DataLoop>(std::make_unique<AgentLoop>(
+      options, std::move(target), std::move(peers), std::move(wakeup)));
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/lib/node/data_loop.h
@@ -0,0 +1,54 @@
+#ifndef SKYLARKSHUNT_LIB_NODE_DATA_LOOP_H_
+#define SKYLARKSHUNT_LIB_NODE_DATA_LOOP_H_
+
+#include <memory>
+#include <string>
+
+#include "data_command.h"
+#include "skylarkshunt/base/counters.h"
+#include "skylarkshunt/base/error.h"
+#include "skylarkshunt/base/ids.h"
+#include "skylarkshunt/node/node_options.h"
+
+namespace skylarkshunt {
+
+/// The data thread of a node: it forwards packets and exchanges reports with
+/// the other nodes. All methods are thread-safe.
+class DataLoop {
+ public:
+  struct Options {
+    NodeOptions node;
+    std::shared_ptr<const PacketFormat> packets;
+    Incarnation incarnation{};
+    /// Must outlive the loop.
+    CounterRegistry* counters = nullptr;
+    DataNotices notices;
+  };
+
+  /// The loop of the role that the options name. Errors: kAddressInUse,
+  /// kSystem.
+  static Result<std::unique_ptr<DataLoop>> Open(const Options& options);
+  virtual ~DataLoop() = default;
+
+  /// Starts the thread.
+  virtual void Start() = 0;
+  /// Ends the thread. The object stays usable, but nothing happens any more.
+  virtual void Stop() = 0;
+  /// Returns false when too many commands wait.
+  virtual bool Command(DataCommand command) = 0;
+  /// Whether new flows should come here.
+  virtual bool is_ready() const = 0;
+  /// Whether another node has been heard lately.
+  virtual bool is_connected() const = 0;
+  /// Whether the graceful end is complete.
+  virtual bool ended() const = 0;
+};
+
+Result<std::unique_ptr<DataLoop>> OpenEntryLoop(
+    const DataLoop::Options& options);
+Result<std::unique_ptr<DataLoop>> OpenAgentLoop(
+    const DataLoop::Options& options);
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_LIB_NODE_DATA_LOOP_H_
--- /dev/null
+++ b/lib/node/node_channel.h
@@ -0,0 +1,53 @@
+#ifndef SKYLARKSHUNT_LIB_NODE_NODE_CHANNEL_H_
+#define SKYLARKSHUNT_LIB_NODE_NODE_CHANNEL_H_
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "skylarkshunt/base/counters.h"
+#include "skylarkshunt/forwarding/messages.h"
+#include "skylarkshunt/net/udp_socket.h"
+
+namespace skylarkshunt {
+
+/// Datagrams taken from one socket before the next one is looked at.
+inline constexpr int kDatagramBatch = 64;
+/// Gap between two rounds of a data thread after which the process was
+/// suspended: what waits in its sockets is from before. A round takes at most
+/// 100 ms unless the processor is away.
+inline constexpr absl::Duration kSuspendedGap = absl::Seconds(2);
+
+/// The socket for messages between nodes. Belongs to one thread.
+class NodeChannel {
+ public:
+  /// `port` is the port of every other node.
+  NodeChannel(UdpSocket socket, uint16_t port, CounterRegistry& counters);
+
+  void Send(Endpoint destination, const NodeMessage& message);
+  /// To the node at `address`.
+  void SendToNode(uint32_t address, const NodeMessage& message) {
+    Send({address, port_}, message);
+  }
+  /// Sends a datagram that is not a message between nodes.
+  void SendRaw(Endpoint destination, absl::Span<const uint8_t> bytes);
+
+  /// Hands up to kDatagramBatch messages to `handle`.
+  void Receive(const std::function<void(Endpoint, const NodeMessage&)>& handle);
+  /// Drops everything that waits, and returns how many datagrams that were.
+  size_t Discard();
+
+  int fd() const { return socket_.fd(); }
+
+ private:
+  UdpSocket socket_;
+  const uint16_t port_;
+  std::vector<uint8_t> buffer_;
+  Counter& malformed_;
+  Counter& unsent_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_LIB_NODE_NODE_CHANNEL_H_
--- /dev/null
+++ b/lib/node/node_process.cc
@@ -0,0 +1,142 @@
+#include "skylarkshunt/node/node_process.h"
+
+#include <utility>
+
+#include "configuration_follower.h"
+#include "data_loop.h"
+#include "skylarkshunt/http/http_server.h"
+#include "target_prober.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+class RunningNode : public NodeProcess {
+ public:
+  RunningNode() = default;
+  RunningNode(const RunningNode&) = delete;
+  RunningNode& operator=(const RunningNode&) = delete;
+  ~RunningNode() override {
+    // The data thread tells the other parts, and they command it.
+    if (loop_ != nullptr)
+      loop_->Stop();
+  }
+
+  Result<void> Open(const Options& options) {
+    DataLoop::Options data;
+    data.node = options.node;
+    data.packets = options.adapter.packets;
+    data.incarnation = options.incarnation;
+    data.counters = options.counters;
+    data.notices.on_revision = [this](uint32_t address, Revision revision) {
+      follower_->OnRevision(address, revision);
+    };
+    data.notices.on_target_doubtful = [this] { prober_->Probe(); };
+    BOOST_OUTCOME_TRY(loop, DataLoop::Open(data));
+    loop_ = std::move(loop);
+
+    ConfigurationFollower::Options follower;
+    follower.node = options.node;
+    follower.key = options.adapter.configuration_key;
+    follower.read = options.adapter.read_configuration;
+    follower.counters = options.counters;
+    follower.command = [this](DataCommand command) {
+      return loop_->Command(std::move(command));
+    };
+    follower.is_connected = [this] { return loop_->is_connected(); };
+    follower.random_seed = options.random_seed;
+    BOOST_OUTCOME_TRY(created, ConfigurationFollower::Create(follower));
+    follower_ = std::move(created);
+
+    if (options.node.role == Role::kAgent)
+      OpenProber(options.node);
+    BOOST_OUTCOME_TRYV(OpenHttp(options));
+    follower_->Start();
+    loop_->Start();
+    return Success();
+  }
+
+  void BeginShutdown() override { loop_->Command(BeginShutdownCommand{}); }
+  bool ended() const override { return loop_->ended(); }
+
+ private:
+  void OpenProber(const NodeOptions& node) {
+    TargetProber::Options prober;
+    prober.target = node.target;
+    prober.health_path = [this, service = MakeServiceUid(node.service)] {
+      const std::shared_ptr<const RouteTable> routes = follower_->routes();
+      if (routes == nullptr)
+        return std::string();
+      const auto found = routes->services.find(service);
+      return found == routes->services.end() ? std::string()
+                                             : found->second.health_path;
+    };
+    prober.on_outcome = [this](TargetProbe outcome) {
+      loop_->Command(outcome);
+    };
+    prober_ = std::make_unique<TargetProber>(std::move(prober));
+  }
+
+  Result<void> OpenHttp(const Options& options) {
+    NodeHooks hooks;
+    hooks.is_ready = [this] { return loop_->is_ready(); };
+    hooks.on_target_report = [this](const TargetReport& report) {
+      return loop_->Command(report);
+    };
+    hooks.on_target_left = [this](absl::string_view id) {
+      return loop_->Command(TargetLeft{std::string(id)});
+    };
+    HttpServer::Options http;
+    if (options.node.readiness.port != 0) {
+      http.listeners.push_back(
+          {options.node.readiness, options.adapter.readiness(hooks)});
+    }
+    if (options.node.target_reports.port != 0) {
+      http.listeners.push_back(
+          {options.node.target_reports, options.adapter.target_reports(hooks)});
+    }
+    http.listeners.push_back(
+        {options.node.peers,
+         [this, counters = options.counters](const HttpRequest& request) {
+           return AnswerPeer(request, *counters);
+         }});
+    BOOST_OUTCOME_TRY(server, HttpServer::Start(std::move(http)));
+    http_ = std::move(server);
+    return Success();
+  }
+
+  /// Other nodes and operators ask here.
+  HttpResponse AnswerPeer(const HttpRequest& request,
+                          const CounterRegistry& counters) const {
+    HttpResponse response;
+    if (request.target == "/configuration") {
+      response.body = follower_->Document();
+      response.status = response.body.empty() ? kUnavailable : response.status;
+    } else if (request.target == "/metrics") {
+      response.content_type = "text/plain; version=0.0.4";
+      response.body = counters.ToText();
+    } else {
+      response.status = kNotFound;
+    }
+    return response;
+  }
+
+  // The threads of later members use earlier ones, and end first.
+  std::unique_ptr<DataLoop> loop_;
+  std::unique_ptr<ConfigurationFollower> follower_;
+  std::unique_ptr<TargetProber> prober_;
+  std::unique_ptr<HttpServer> http_;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<NodeProcess>> NodeProcess::Start(
+    const Options& options) {
+  auto node = std::make_unique<RunningNode>();
+  BOOST_OUTCOME_TRYV(node->Open(options));
+  return std::unique_ptr<NodeProcess>(std::move(node));
+}
+
+}  // namespace skylarkshunt
--- /dev/null
+++ b/lib/node/target_prober.cc
@@ -0,0 +1,57 @@
+#include "target_prober.h"
+
+#include <utility>
+
+#include "skylarkshunt/http/http_client.h"
+
+namespace skylarkshunt {
+namespace {
+
+/// Time-out of a check: a target that runs answers within a few milliseconds,
+/// and slow ones take five times as long.
+constexpr absl::Duration kProbeTimeout = absl::Milliseconds(500);
+constexpr absl::Duration kWait = absl::Seconds(10);
+constexpr int kOk = 200;
+
+}  // namespace
+
+TargetProber::TargetProber(Options options)
+    : options_(std::move(options)), requests_(1), thread_([this] { Run(); }) {}
+
+TargetProber::~TargetProber() {
+  requests_.PushReplacingOldest(false);
+  thread_.join();
+}
+
+void TargetProber::Probe() {
+  // The ring is full only while a check is asked for already.
+  static_cast<void>(requests_.TryPush(true));
+}
+
+void TargetProber::Run() {
+  while (true) {
+    const absl::optional<bool> request = requests_.Pop(kWait);
+    if (!request.has_value())
+      continue;
+    if (!*request)
+      return;
+    options_.on_outcome(Check());
+  }
+}
+
+TargetProbe TargetProber::Check() const {
+  HttpCall call;
+  call.server = options_.target;
+  call.target = options_.health_path();
+  if (call.target.empty())
+    return TargetProbe::kUnclear;
+  call.timeout = kProbeTimeout;
+  const Result<HttpAnswer> answer = Call(call);
+  if (answer.has_value())
+    return answer.value().status == kOk ? TargetProbe::kHealthy
+                                        : TargetProbe::kUnclear;
+  return answer.error().kind == ErrorKind::kRefused ? TargetProbe::kRefused
+                                                    : TargetProbe::kUnclear;
+}
+
+}  // namespace skylarkshunt
--- a/standins/platform/platform_core.h
+++ b/standins/platform/platform_core.h
@@ -45,12 +45,15 @@
     uint32_t reads_per_second = 2000;
     /// Changes kept for watches.
     size_t max_log = 10'000;
+    /// Most objects of one answer to a list.
+    size_t page_size = 500;
   };
 
   explicit PlatformCore(const Options& options);
 
   PlatformAnswer Read(absl::string_view key);
-  PlatformAnswer List(absl::string_view prefix);
+  /// The objects below `prefix` with keys after `after`, one page of them.
+  PlatformAnswer List(absl::string_view prefix, absl::string_view after = "");
   PlatformAnswer Write(absl::string_view key,
                        absl::string_view body,
                        uint64_t expected);
@@ -71,7 +74,7 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   /// Whether `mode` is set; then one call of its count is used up.
   bool TakeFault(FaultMode mode) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  PlatformAnswer AnswerChange(const ChangeResult& result)
+  PlatformAnswer AnswerChange(absl::string_view key, const ChangeResult& result)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   PlatformAnswer AwaitChanges(absl::string_view prefix,
                               uint64_t after,
@@ -85,6 +88,7 @@
   CallLimiter reads_ ABSL_GUARDED_BY(mutex_);
   Fault fault_ ABSL_GUARDED_BY(mutex_);
   CallCounts counts_ ABSL_GUARDED_BY(mutex_);
+  const size_t page_size_;
   bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
 };
 
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -9,8 +9,8 @@
 
 namespace skylarkshunt {
 
-/// The stand-in platform behind HTTP, with the protocol of PlatformClient,
-/// POST /fault and GET /calls. All methods are thread-safe.
+/// The stand-in platform behind HTTP, with the published protocol of the object
+/// store, POST /fault and GET /calls. All methods are thread-safe.
 class PlatformServer {
  public:
   struct Options {
--- a/tools/skylarkshuntd/daemon.cc
+++ b/tools/skylarkshuntd/daemon.cc
@@ -5,7 +5,6 @@
 
 #include <csignal>
 #include <cstdio>
-#include <ctime>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -14,6 +13,7 @@
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
 #include "options.h"
+#include "signals.h"
 #include "skylarkshunt/agent/agent_process.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/entry/entry_process.h"
@@ -32,22 +32,6 @@
 /// Time between two looks whether the shutdown is complete.
 constexpr absl::Duration kSignalWait = absl::Milliseconds(50);
 
-sigset_t HandledSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP);
-  return signals;
-}
-
-/// Returns the signal that came within kSignalWait, or 0.
-int NextSignal(const sigset_t& signals) {
-  const timespec wait = absl::ToTimespec(kSignalWait);
-  const int signal = sigtimedwait(&signals, nullptr, &wait);
-  return signal > 0 ? signal : 0;
-}
-
 ProcessOptions MakeOptions(const Settings& settings,
                            CounterRegistry& counters) {
   ProcessOptions options;
@@ -103,10 +87,9 @@
 
 /// Waits for signals until the role has ended.
 void Supervise(RoleProcess& process, const std::string& file) {
-  const sigset_t signals = HandledSignals();
   bool ending = false;
   while (!process.ended()) {
-    const int signal = NextSignal(signals);
+    const int signal = WaitForSignal(kSignalWait);
     if (signal == SIGHUP)
       Reload(file, process);
     if (signal != SIGTERM && signal != SIGINT)
@@ -132,9 +115,7 @@
 }
 
 int RunDaemon(const Settings& settings, const std::string& file) {
-  const sigset_t signals = HandledSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  BlockHandledSignals();
   CounterRegistry counters;
   const ProcessOptions options = MakeOptions(settings, counters);
   Result<std::unique_ptr<RoleProcess>> started = StartRole(options);
--- a/tools/skylarkshuntd/main.cc
+++ b/tools/skylarkshuntd/main.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "daemon.h"
+#include "node_daemon.h"
 #include "options.h"
 #include "skylarkshunt/settings/settings.h"
 
@@ -23,6 +24,10 @@
     std::cout << "skylarkshuntd " << SKYLARKSHUNT_VERSION << "\n";
     return kExitOk;
   }
+  if (line.value().action == CommandLine::Action::kRunNode)
+    return RunNodeDaemon();
+  if (line.value().action == CommandLine::Action::kCheckNode)
+    return CheckNodeSettings();
   const Result<Settings> settings = LoadSettings(line.value().settings);
   if (!settings.has_value()) {
     std::cerr << settings.error().ToString() << "\n";
--- a/tools/skylarkshuntd/options.cc
+++ b/tools/skylarkshuntd/options.cc
@@ -12,10 +12,16 @@
 
 constexpr char kUsage[] =
     "skylarkshuntd --settings FILE [--check]\n"
+    "skylarkshuntd --node [--check]\n"
     "\n"
     "Runs one instance of the load balancer as entry or agent, as the "
     "settings\n"
-    "say. Logs to stderr; prints one JSON line with its addresses when ready.\n"
+    "say. With --node it forwards packet flows on the platform, which names "
+    "the\n"
+    "settings file in the environment, and logs to stdout. Otherwise it "
+    "serves\n"
+    "the product's own protocol. Logs to stderr; prints one JSON line with its "
+    "addresses when ready.\n"
     "SIGTERM drains and ends it, SIGHUP reads the log settings again.\n"
     "\n"
     "Exit codes: 0 ended, 2 command line, 3 settings, 4 address taken,\n"
@@ -27,6 +33,7 @@
   po::options_description options(kUsage);
   options.add_options()("settings", po::value(&settings)->value_name("FILE"),
                         "settings file (JSON with comments)")(
+      "node", "run with the settings that the platform provides")(
       "check", "check the settings and end")("version", "print the version")(
       "help", "print this text");
   return options;
@@ -61,6 +68,11 @@
     line.action = CommandLine::Action::kVersion;
     return line;
   }
+  if (values.count("node") != 0) {
+    line.action = values.count("check") != 0 ? CommandLine::Action::kCheckNode
+                                             : CommandLine::Action::kRunNode;
+    return line;
+  }
   if (line.settings.empty()) {
     return MakeError(ErrorKind::kInvalidArgument, "--settings is missing",
                      "name the settings file: --settings FILE");
--- a/tools/skylarkshuntd/options.h
+++ b/tools/skylarkshuntd/options.h
@@ -22,7 +22,7 @@
 
 /// What the command line asks for.
 struct CommandLine {
-  enum class Action { kRun, kCheck, kVersion, kHelp };
+  enum class Action { kRun, kRunNode, kCheck, kCheckNode, kVersion, kHelp };
   Action action = Action::kRun;
   std::string settings;
   /// Text for kHelp.
