Hold opening packets at the agent until a slot is near

Change: an agent lets through as many requests as the target has slots, and what fills them during a handshake. The rest waits in OpeningQueue: those that can still be answered within their objective come first, then those whose client gives up first. What cannot be served before its client gives up is refused. A granted flow whose request does not come within 50 ms frees its slot.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -13,6 +14,7 @@
 #include "skylarkshunt/forwarding/decision.h"
 #include "skylarkshunt/forwarding/load_model.h"
 #include "skylarkshunt/forwarding/messages.h"
+#include "skylarkshunt/forwarding/opening_queue.h"
 #include "skylarkshunt/forwarding/target_state.h"
 #include "skylarkshunt/packets/packet.h"
 
@@ -91,7 +93,7 @@
   /// Handles what is overdue. Call it at next_deadline() or before.
   void Tick(absl::Time now, AgentActions& actions);
   /// When Tick() has something to do.
-  absl::Time next_deadline() const;
+  absl::Time next_deadline(absl::Time now) const;
 
   /// Takes no new flow from now on.
   void BeginShutdown();
@@ -122,6 +124,7 @@
     /// Next byte that the client expects; the sequence of a reset.
     uint32_t client_expects = 0;
     uint32_t busy_before = 0;
+    absl::Time opened;
     absl::Time requested;
     absl::Time used;
   };
@@ -148,6 +151,21 @@
                  Endpoint entry,
                  absl::Time now,
                  AgentActions& actions);
+  void OpenAtTarget(const WaitingOpening& opening,
+                    absl::Time now,
+                    AgentActions& actions);
+  /// Gives free slots to waiting opening packets, or returns them to their
+  /// entries while the target takes none.
+  void ServeQueue(absl::Time now, AgentActions& actions);
+  void RefuseWaiting(const WaitingOpening& opening,
+                     absl::string_view reason,
+                     absl::Time now,
+                     AgentActions& actions);
+  /// Time from a slot to the first byte at the caller.
+  absl::Duration AnswerTime(absl::Time now) const;
+  /// Most requests that the target holds at a time: its slots, and what fills
+  /// them while the next clients' requests are on their way.
+  uint32_t RequestLimit(absl::Time now) const;
   void OnLater(const ForwardedPacket& forwarded,
                const PacketHeader& header,
                Endpoint entry,
@@ -168,9 +186,10 @@
                 absl::Span<const uint8_t> packet,
                 absl::Time now,
                 AgentActions& actions);
-  uint32_t Deliver(const ForwardedPacket& forwarded,
-                   const FlowId& flow,
-                   Endpoint entry,
+  /// Sends a packet to the target so that it can be told where it came from
+  /// when the target returns it. Returns its token.
+  uint32_t Deliver(Delivery delivery,
+                   absl::Span<const uint8_t> packet,
                    AgentActions& actions);
   void SetBusy(Flow& flow, bool busy);
   void EraseFlow(const FlowId& id);
@@ -183,12 +202,19 @@
   const Options options_;
   TargetState target_;
   ServiceTimeModel service_time_;
+  OpeningQueue queue_;
+  /// Packets of the queue that the last call passed to the target.
+  std::vector<WaitingOpening> served_;
+  absl::Duration handshake_time_;
   absl::flat_hash_map<FlowId, Flow> flows_;
   /// Flows that the target returned a packet of, and when.
   absl::flat_hash_map<FlowId, absl::Time> not_held_;
   std::vector<Delivery> deliveries_;
   uint32_t next_token_ = 1;
   std::deque<Unanswered> unanswered_;
+  /// Flows that the target granted and whose request has not come yet, by the
+  /// time until which they count as load.
+  std::deque<std::pair<absl::Time, FlowId>> granted_;
   /// Bytes of packets that were given back by Tick().
   std::vector<Unanswered> overdue_;
   uint32_t busy_ = 0;
--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -83,6 +83,11 @@
   ForwardMode mode = ForwardMode::kOpening;
   ServiceUid service{};
   RequestKind kind = RequestKind::kNonIdempotent;
+  /// 0 is the most urgent.
+  uint8_t priority = 0;
+  /// Time from the first copy of an opening packet within which its answer is
+  /// worth most, in milliseconds.
+  uint32_t objective_ms = 0;
   /// The agent declines an opening packet that would wait longer for a slot, in
   /// microseconds; the maximum means that it takes the packet in any case.
   uint32_t wait_limit_us = 0;
--- a/include/skylarkshunt/packets/packet.h
+++ b/include/skylarkshunt/packets/packet.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/time/time.h"
 #include "absl/types/span.h"
 #include "skylarkshunt/base/endpoint.h"
 #include "skylarkshunt/base/error.h"
@@ -46,12 +47,15 @@
   Endpoint destination;
   /// Sequence number of the first byte of the payload.
   uint32_t sequence = 0;
-  /// Next byte that the sender expects from the other end; on an opening packet
-  /// of a client the number of earlier copies.
+  /// Next byte that the sender expects from the other end.
   uint32_t acknowledged = 0;
   uint16_t payload_bytes = 0;
   /// Value that a target repeats on packets that it returns.
   uint32_t return_token = 0;
+  /// On an opening packet of a client: the time since its first copy, and how
+  /// much longer the client waits for an answer.
+  absl::Duration opening_age;
+  absl::Duration opening_time_left;
   bool opening = false;       ///< Asks for a new flow, or grants it.
   bool acknowledges = false;  ///< `acknowledged` is valid.
   bool ending = false;        ///< The sender sends nothing more.
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -1,6 +1,7 @@
 #include "skylarkshunt/forwarding/agent_forwarder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -20,8 +21,10 @@
 constexpr absl::Duration kOpeningTimeout = absl::Milliseconds(80);
 /// Time between two sweeps over all flows.
 constexpr absl::Duration kSweepInterval = absl::Milliseconds(250);
-/// An opening flow whose client sends nothing more is no load after this.
-constexpr absl::Duration kOpeningLifetime = absl::Milliseconds(1500);
+/// Time that a client has to send its request once the target has granted the
+/// flow. After it the slot goes to another client, since many clients of a
+/// queue have given up; several passages between client and target.
+constexpr absl::Duration kRequestTimeout = absl::Milliseconds(50);
 /// An ended flow is kept for the last packets of both ends.
 constexpr absl::Duration kEndedLifetime = absl::Seconds(5);
 /// A flow without packets is forgotten after the longest idle time plus margin;
@@ -33,6 +36,19 @@
 /// carries less, and a foreign sequence number is random.
 constexpr uint32_t kSequenceWindow = 1U << 24;
 
+/// Time from an opening packet at the target to its client's request: two
+/// passages of the network between client and target.
+constexpr absl::Duration kInitialHandshakeTime = absl::Milliseconds(8);
+constexpr double kHandshakeWeight = 0.05;
+/// Most requests that are let through beyond the slots, as a multiple of them:
+/// a target queues four times its slots.
+constexpr double kMaxAheadFactor = 2.0;
+/// A waiting opening packet is refused this much before its client gives up, so
+/// that the reset reaches it in time.
+constexpr absl::Duration kGiveUpMargin = absl::Milliseconds(30);
+/// Time between two looks at the queue for clients that give up.
+constexpr absl::Duration kQueueCheckInterval = absl::Milliseconds(20);
+
 bool FollowsSequence(uint32_t acknowledged, uint32_t initial) {
   return acknowledged - initial < kSequenceWindow;
 }
@@ -55,6 +71,7 @@
 AgentForwarder::AgentForwarder(Options options, absl::Time now)
     : options_(std::move(options)),
       target_(options_.service, options_.report_interval),
+      handshake_time_(kInitialHandshakeTime),
       deliveries_(kMaxDeliveries),
       next_sweep_(now + kSweepInterval) {}
 
@@ -63,6 +80,7 @@
                                  Endpoint entry,
                                  absl::Time now,
                                  AgentActions& actions) {
+  served_.clear();
   if (header.opening)
     OnOpening(forwarded, header, entry, now, actions);
   else
@@ -74,54 +92,130 @@
                                Endpoint entry,
                                absl::Time now,
                                AgentActions& actions) {
-  const FlowId id = header.flow_from_client();
-  Delivery back;
-  back.flow = id;
-  back.entry = entry;
-  back.mode = ForwardMode::kOpening;
-  back.declined = forwarded.declined;
-  const auto known = flows_.find(id);
-  if (known != flows_.end() && known->second.phase == Phase::kOpen) {
-    Deliver(forwarded, id, entry, actions);
+  Delivery delivery;
+  delivery.flow = header.flow_from_client();
+  delivery.entry = entry;
+  delivery.mode = ForwardMode::kOpening;
+  delivery.declined = forwarded.declined;
+  if (flows_.contains(delivery.flow)) {
+    // A copy: the target answers it as it answered the first one.
+    Deliver(std::move(delivery), forwarded.packet, actions);
     return;
   }
+  if (queue_.Contains(delivery.flow))
+    return;
   if (forwarded.service != options_.identity.service) {
-    GiveBack(back, ReturnReason::kWrongService, forwarded.packet, now, actions);
+    GiveBack(delivery, ReturnReason::kWrongService, forwarded.packet, now,
+             actions);
     return;
   }
   const AgentLoad current = load(now);
   if (!current.accepts_flows() || flows_.size() >= kMaxFlows) {
-    GiveBack(back, ReturnReason::kNotAccepting, forwarded.packet, now, actions);
+    GiveBack(delivery, ReturnReason::kNotAccepting, forwarded.packet, now,
+             actions);
     return;
   }
-  const uint32_t wait_us = ExpectedWaitUs(current, 0);
-  if (known == flows_.end() && wait_us > forwarded.wait_limit_us) {
-    GiveBack(back, ReturnReason::kBusy, forwarded.packet, now, actions);
+  if (ExpectedWaitUs(current, 0) > forwarded.wait_limit_us) {
+    GiveBack(delivery, ReturnReason::kBusy, forwarded.packet, now, actions);
     return;
   }
-  EraseFlow(id);
-  not_held_.erase(id);
-  Flow& flow = flows_[id];
-  flow.entry = entry;
-  flow.kind = forwarded.kind;
+  WaitingOpening opening;
+  opening.flow = delivery.flow;
+  opening.entry = entry;
+  opening.kind = forwarded.kind;
+  opening.priority = forwarded.priority;
+  opening.objective =
+      now - header.opening_age + absl::Milliseconds(forwarded.objective_ms);
+  opening.gives_up = now + header.opening_time_left;
+  opening.declined = forwarded.declined;
+  opening.packet.assign(forwarded.packet.begin(), forwarded.packet.end());
+  const absl::optional<WaitingOpening> dropped =
+      queue_.Push(std::move(opening), now);
+  if (dropped.has_value())
+    RefuseWaiting(*dropped, "queue_full", now, actions);
+  ServeQueue(now, actions);
+  actions.to_entries.push_back(
+      {entry, FlowPlaced{options_.identity, load(now), delivery.flow}});
+}
+
+void AgentForwarder::ServeQueue(absl::Time now, AgentActions& actions) {
+  if (queue_.empty())
+    return;
+  if (!load(now).accepts_flows()) {
+    for (WaitingOpening& opening : queue_.TakeAll()) {
+      Delivery delivery;
+      delivery.flow = opening.flow;
+      delivery.entry = opening.entry;
+      delivery.declined = opening.declined;
+      served_.push_back(std::move(opening));
+      GiveBack(delivery, ReturnReason::kNotAccepting, served_.back().packet,
+               now, actions);
+    }
+    return;
+  }
+  while (busy_ < RequestLimit(now)) {
+    absl::optional<WaitingOpening> opening = queue_.Pop(now, AnswerTime(now));
+    if (!opening.has_value())
+      return;
+    served_.push_back(*std::move(opening));
+    OpenAtTarget(served_.back(), now, actions);
+  }
+}
+
+void AgentForwarder::OpenAtTarget(const WaitingOpening& opening,
+                                  absl::Time now,
+                                  AgentActions& actions) {
+  not_held_.erase(opening.flow);
+  Flow& flow = flows_[opening.flow];
+  flow.entry = opening.entry;
+  flow.kind = opening.kind;
   flow.used = now;
+  flow.opened = now;
   flow.requested = now;
   flow.busy_before = busy_;
-  flow.client_expects = 0;
   ++open_;
   SetBusy(flow, true);
-  Decision decision = MakeDecision(DecisionKind::kAccepted, id, "slot", now);
-  decision.time = absl::Microseconds(wait_us);
-  decision.hops = static_cast<uint32_t>(forwarded.declined.size());
+  Decision decision =
+      MakeDecision(DecisionKind::kAccepted, opening.flow, "slot", now);
+  decision.time = opening.gives_up - now;
+  decision.hops = static_cast<uint32_t>(opening.declined.size());
   actions.decisions.push_back(decision);
+  Delivery delivery;
+  delivery.flow = opening.flow;
+  delivery.entry = opening.entry;
+  delivery.mode = ForwardMode::kOpening;
+  delivery.declined = opening.declined;
   Unanswered unanswered;
-  unanswered.flow = id;
-  unanswered.token = Deliver(forwarded, id, entry, actions);
+  unanswered.flow = opening.flow;
   unanswered.deadline = now + kOpeningTimeout;
-  unanswered.packet.assign(forwarded.packet.begin(), forwarded.packet.end());
+  unanswered.packet = opening.packet;
+  unanswered.token = Deliver(std::move(delivery), opening.packet, actions);
   unanswered_.push_back(std::move(unanswered));
-  actions.to_entries.push_back(
-      {entry, FlowPlaced{options_.identity, load(now), id}});
+}
+
+void AgentForwarder::RefuseWaiting(const WaitingOpening& opening,
+                                   absl::string_view reason,
+                                   absl::Time now,
+                                   AgentActions& actions) {
+  // The target never saw the packet, so that nothing has run.
+  actions.resets.push_back({opening.flow, 0});
+  actions.decisions.push_back(
+      MakeDecision(DecisionKind::kRefused, opening.flow, reason, now));
+}
+
+absl::Duration AgentForwarder::AnswerTime(absl::Time now) const {
+  const absl::Duration known = service_time_.estimate(now);
+  return handshake_time_ +
+         (known > absl::ZeroDuration() ? known : kInitialServiceTime);
+}
+
+uint32_t AgentForwarder::RequestLimit(absl::Time now) const {
+  const absl::Duration known = service_time_.estimate(now);
+  const absl::Duration service_time =
+      known > absl::ZeroDuration() ? known : kInitialServiceTime;
+  const double ahead = target_.slots() * (handshake_time_ / service_time);
+  return target_.slots() + static_cast<uint32_t>(std::ceil(std::min<double>(
+                               ahead, kMaxAheadFactor * target_.slots())));
 }
 
 void AgentForwarder::OnLater(const ForwardedPacket& forwarded,
@@ -130,10 +224,10 @@
                              absl::Time now,
                              AgentActions& actions) {
   const FlowId id = header.flow_from_client();
-  Delivery back;
-  back.flow = id;
-  back.entry = entry;
-  back.mode = forwarded.mode;
+  Delivery delivery;
+  delivery.flow = id;
+  delivery.entry = entry;
+  delivery.mode = forwarded.mode;
   const auto known = flows_.find(id);
   if (known == flows_.end()) {
     const auto denied = not_held_.find(id);
@@ -142,9 +236,10 @@
         target_.state(now) == InstanceState::kDown ||
         (denied != not_held_.end() && now - denied->second < kNotHeldLifetime);
     if (not_held)
-      GiveBack(back, ReturnReason::kNotHeld, forwarded.packet, now, actions);
+      GiveBack(delivery, ReturnReason::kNotHeld, forwarded.packet, now,
+               actions);
     else
-      Deliver(forwarded, id, entry, actions);
+      Deliver(std::move(delivery), forwarded.packet, actions);
     return;
   }
   Flow& flow = known->second;
@@ -155,7 +250,7 @@
   if (foreign) {
     // The client took the grant of another target.
     EraseFlow(id);
-    GiveBack(back, ReturnReason::kNotHeld, forwarded.packet, now, actions);
+    GiveBack(delivery, ReturnReason::kNotHeld, forwarded.packet, now, actions);
     return;
   }
   if (forwarded.mode == ForwardMode::kSearch) {
@@ -164,7 +259,8 @@
   }
   flow.entry = entry;
   NoteClientPacket(flow, header, now);
-  Deliver(forwarded, id, entry, actions);
+  Deliver(std::move(delivery), forwarded.packet, actions);
+  ServeQueue(now, actions);
 }
 
 void AgentForwarder::NoteClientPacket(Flow& flow,
@@ -180,6 +276,9 @@
     const bool fresh =
         !flow.client_next_known || IsAfter(end, flow.client_next);
     if (fresh) {
+      if (!flow.client_next_known && flow.opened != absl::Time())
+        handshake_time_ +=
+            kHandshakeWeight * (now - flow.opened - handshake_time_);
       flow.client_next = end;
       flow.client_next_known = true;
       flow.requested = now;
@@ -202,6 +301,7 @@
                                     absl::Span<const uint8_t> packet,
                                     absl::Time now,
                                     AgentActions& actions) {
+  served_.clear();
   target_.OnAlive();
   if (header.returned) {
     OnReturnedByTarget(header, packet, now, actions);
@@ -220,6 +320,7 @@
     not_held_.erase(id);
   }
   actions.to_clients.push_back({header.destination.address, packet});
+  ServeQueue(now, actions);
 }
 
 void AgentForwarder::NoteTargetPacket(const FlowId& id,
@@ -231,6 +332,7 @@
   if (header.opening) {
     flow.target_sequence = header.sequence;
     flow.target_sequence_known = true;
+    granted_.emplace_back(now + kRequestTimeout, id);
     unanswered_.erase(
         std::remove_if(unanswered_.begin(), unanswered_.end(),
                        [&id](const Unanswered& u) { return u.flow == id; }),
@@ -315,29 +417,26 @@
   actions.decisions.push_back(decision);
 }
 
-uint32_t AgentForwarder::Deliver(const ForwardedPacket& forwarded,
-                                 const FlowId& flow,
-                                 Endpoint entry,
+uint32_t AgentForwarder::Deliver(Delivery delivery,
+                                 absl::Span<const uint8_t> packet,
                                  AgentActions& actions) {
-  const uint32_t token = next_token_++;
-  Delivery& delivery = deliveries_[token % deliveries_.size()];
-  delivery.token = token;
-  delivery.flow = flow;
-  delivery.entry = entry;
-  delivery.mode = forwarded.mode;
-  delivery.declined = forwarded.declined;
-  actions.to_target.push_back({forwarded.packet, token});
+  delivery.token = next_token_++;
+  actions.to_target.push_back({packet, delivery.token});
+  const uint32_t token = delivery.token;
+  deliveries_[token % deliveries_.size()] = std::move(delivery);
   return token;
 }
 
 TargetNews AgentForwarder::OnTargetReport(const TargetReport& report,
                                           absl::Time now,
                                           AgentActions& actions) {
+  served_.clear();
   const TargetNews news = target_.OnReport(report, now);
   if (news == TargetNews::kStartedAgain) {
     CutFlows("target_started_again", actions);
     service_time_.Reset();
   }
+  ServeQueue(now, actions);
   return news;
 }
 
@@ -369,11 +468,13 @@
   }
   flows_.clear();
   unanswered_.clear();
+  granted_.clear();
   busy_ = 0;
   open_ = 0;
 }
 
 void AgentForwarder::Tick(absl::Time now, AgentActions& actions) {
+  served_.clear();
   overdue_.clear();
   while (!unanswered_.empty() && unanswered_.front().deadline <= now) {
     overdue_.push_back(std::move(unanswered_.front()));
@@ -393,14 +494,23 @@
                actions);
     }
   }
+  while (!granted_.empty() && granted_.front().first <= now) {
+    const auto known = flows_.find(granted_.front().second);
+    if (known != flows_.end() && known->second.phase == Phase::kOpening)
+      SetBusy(known->second, false);
+    granted_.pop_front();
+  }
+  for (const WaitingOpening& opening :
+       queue_.TakeGivenUp(now + kGiveUpMargin)) {
+    RefuseWaiting(opening, "no_slot_in_time", now, actions);
+  }
+  ServeQueue(now, actions);
   if (now < next_sweep_)
     return;
   next_sweep_ = now + kSweepInterval;
   std::vector<FlowId> expired;
   for (auto& [id, flow] : flows_) {
     const absl::Duration age = now - flow.used;
-    if (flow.phase == Phase::kOpening && age > kOpeningLifetime)
-      SetBusy(flow, false);
     const absl::Duration lifetime =
         flow.phase == Phase::kEnded ? kEndedLifetime : kIdleLifetime;
     if (age > lifetime)
@@ -415,10 +525,15 @@
   });
 }
 
-absl::Time AgentForwarder::next_deadline() const {
-  if (unanswered_.empty())
-    return next_sweep_;
-  return std::min(next_sweep_, unanswered_.front().deadline);
+absl::Time AgentForwarder::next_deadline(absl::Time now) const {
+  absl::Time next = next_sweep_;
+  if (!unanswered_.empty())
+    next = std::min(next, unanswered_.front().deadline);
+  if (!granted_.empty())
+    next = std::min(next, granted_.front().first);
+  if (!queue_.empty())
+    next = std::min(next, now + kQueueCheckInterval);
+  return next;
 }
 
 void AgentForwarder::BeginShutdown() {
@@ -426,7 +541,7 @@
 }
 
 bool AgentForwarder::is_idle() const {
-  return busy_ == 0;
+  return busy_ == 0 && queue_.empty();
 }
 
 bool AgentForwarder::is_target_gone(absl::Time now) const {
@@ -437,8 +552,10 @@
   AgentLoad load;
   load.slots = static_cast<uint16_t>(std::min<uint32_t>(
       target_.slots(), std::numeric_limits<uint16_t>::max()));
+  const size_t busy =
+      busy_ + (queue_.empty() ? 0 : queue_.CountInTime(now, AnswerTime(now)));
   load.busy = static_cast<uint16_t>(
-      std::min<uint32_t>(busy_, std::numeric_limits<uint16_t>::max()));
+      std::min<size_t>(busy, std::numeric_limits<uint16_t>::max()));
   load.open_flows = open_;
   load.service_time_us = static_cast<uint32_t>(
       std::min<int64_t>(absl::ToInt64Microseconds(service_time_.estimate(now)),
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -24,8 +24,9 @@
 /// Silence of an agent after which the copy of an opening packet goes to
 /// another one: three of its reports.
 constexpr absl::Duration kCopyElsewhereAfter = absl::Milliseconds(300);
-/// Copy of an opening packet behind which no other follows.
-constexpr uint32_t kLastCopy = 2;
+/// A client that waits no longer than this sends no further copy of its opening
+/// packet.
+constexpr absl::Duration kLastCopyTimeLeft = absl::Seconds(1);
 constexpr uint32_t kNoLimit = std::numeric_limits<uint32_t>::max();
 
 /// Marks a packet that the next agent takes in any case.
@@ -34,6 +35,15 @@
   message.wait_limit_us = kNoLimit;
 }
 
+void DescribeRequest(const Route& route, ForwardedPacket& message) {
+  message.kind = route.kind;
+  message.priority = static_cast<uint8_t>(
+      std::min<uint32_t>(route.priority, std::numeric_limits<uint8_t>::max()));
+  message.objective_ms = static_cast<uint32_t>(
+      std::min<int64_t>(absl::ToInt64Milliseconds(route.latency_objective),
+                        std::numeric_limits<uint32_t>::max()));
+}
+
 bool IsForced(const ReturnedPacket& returned) {
   return returned.declined.size() >= kMaxDeclines;
 }
@@ -99,7 +109,7 @@
   ForwardedPacket message;
   message.mode = ForwardMode::kOpening;
   message.service = ChooseService(route, flow);
-  message.kind = route.kind;
+  DescribeRequest(route, message);
   message.wait_limit_us = kNoLimit;
   message.packet = packet;
   const auto cached = flows_.find(flow);
@@ -114,7 +124,8 @@
     message.declined.push_back(cached->second.agent);
   }
   if (agents_.OfService(message.service).empty() &&
-      now - started_ < kSettleTime && header.acknowledged < kLastCopy) {
+      now - started_ < kSettleTime &&
+      header.opening_time_left > kLastCopyTimeLeft) {
     actions.decisions.push_back(
         MakeDecision(DecisionKind::kHeldBack, flow, "no_agent_yet"));
     return;
@@ -246,7 +257,7 @@
   ForwardedPacket message;
   message.mode = ForwardMode::kOpening;
   message.service = ChooseService(*route, flow);
-  message.kind = route->kind;
+  DescribeRequest(*route, message);
   message.declined = returned.declined;
   message.declined.push_back(returned.agent.uid);
   message.packet = returned.packet;
--- a/lib/forwarding/node_codec.cc
+++ b/lib/forwarding/node_codec.cc
@@ -185,6 +185,8 @@
     writer.Choice(forwarded.mode);
     writer.Identity(forwarded.service);
     writer.Choice(forwarded.kind);
+    writer.Number(forwarded.priority);
+    writer.Number(forwarded.objective_ms);
     writer.Number(forwarded.wait_limit_us);
     WriteDeclined(writer, forwarded.declined);
     writer.Bytes(forwarded.packet);
@@ -243,6 +245,8 @@
   forwarded.mode = reader.Choice(ForwardMode::kSearch);
   forwarded.service = reader.Identity<ServiceUid>();
   forwarded.kind = reader.Choice(RequestKind::kDownload);
+  forwarded.priority = reader.Number<uint8_t>();
+  forwarded.objective_ms = reader.Number<uint32_t>();
   forwarded.wait_limit_us = reader.Number<uint32_t>();
   forwarded.declined = ReadDeclined(reader);
   forwarded.packet = reader.Rest();
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -161,7 +161,7 @@
 
   void Step() {
     const absl::Time before = MonotonicNow();
-    const absl::Time due = std::min(forwarder_.next_deadline(),
+    const absl::Time due = std::min(forwarder_.next_deadline(before),
                                     last_report_ + kAgentReportInterval);
     WaitReadable({target_.fd(), channel_.fd(), wakeup_.fd()},
                  std::max(absl::Milliseconds(1), due - before));
