Test the decisions of packet forwarding and the adapter's decoders

The tests found a fault at once: absl's quotient of two durations is a whole number, so that no request was let through to fill the slots during a handshake, and the estimate of a slow target fell in steps of 600 ms.

Agents that declined are a plain vector: the inlined one made the compiler warn of uninitialised bytes.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -135,7 +135,7 @@
     FlowId flow;
     Endpoint entry;
     ForwardMode mode = ForwardMode::kOpening;
-    absl::InlinedVector<InstanceUid, kMaxDeclines> declined;
+    std::vector<InstanceUid> declined;
   };
 
   /// An opening packet that the target has not answered yet.
--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -5,7 +5,6 @@
 #include <variant>
 #include <vector>
 
-#include "absl/container/inlined_vector.h"
 #include "absl/strings/string_view.h"
 #include "absl/types/span.h"
 #include "skylarkshunt/base/endpoint.h"
@@ -92,7 +91,7 @@
   /// microseconds; the maximum means that it takes the packet in any case.
   uint32_t wait_limit_us = 0;
   /// Agents that passed over this opening packet already.
-  absl::InlinedVector<InstanceUid, kMaxDeclines> declined;
+  std::vector<InstanceUid> declined;
   absl::Span<const uint8_t> packet;
 };
 
@@ -117,7 +116,7 @@
   AgentLoad load;
   ReturnReason reason = ReturnReason::kNotHeld;
   ForwardMode mode = ForwardMode::kOpening;
-  absl::InlinedVector<InstanceUid, kMaxDeclines> declined;
+  std::vector<InstanceUid> declined;
   absl::Span<const uint8_t> packet;
 };
 
--- a/include/skylarkshunt/forwarding/opening_queue.h
+++ b/include/skylarkshunt/forwarding/opening_queue.h
@@ -24,7 +24,7 @@
   absl::Time objective;
   /// The client stops waiting for an answer to its opening packet.
   absl::Time gives_up;
-  absl::InlinedVector<InstanceUid, kMaxDeclines> declined;
+  std::vector<InstanceUid> declined;
   std::vector<uint8_t> packet;
 };
 
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -217,7 +217,8 @@
   const absl::Duration known = service_time_.estimate(now);
   const absl::Duration service_time =
       known > absl::ZeroDuration() ? known : kInitialServiceTime;
-  const double ahead = target_.slots() * (handshake_time_ / service_time);
+  const double ahead =
+      target_.slots() * absl::FDivDuration(handshake_time_, service_time);
   return target_.slots() + static_cast<uint32_t>(std::ceil(std::min<double>(
                                ahead, kMaxAheadFactor * target_.slots())));
 }
--- a/lib/forwarding/load_model.cc
+++ b/lib/forwarding/load_model.cc
@@ -79,8 +79,9 @@
   if (samples_ == 0)
     return absl::ZeroDuration();
   const absl::Duration stale = now - sampled_ - kFreshFor;
-  const double halvings =
-      stale > absl::ZeroDuration() ? stale / kHalvedAfter : 0.0;
+  const double halvings = stale > absl::ZeroDuration()
+                              ? absl::FDivDuration(stale, kHalvedAfter)
+                              : 0.0;
   return absl::Microseconds(std::exp(log_us_ - halvings * M_LN2));
 }
 
--- a/lib/forwarding/node_codec.cc
+++ b/lib/forwarding/node_codec.cc
@@ -144,8 +144,8 @@
     writer.Identity(declined[i]);
 }
 
-absl::InlinedVector<InstanceUid, kMaxDeclines> ReadDeclined(Reader& reader) {
-  absl::InlinedVector<InstanceUid, kMaxDeclines> declined;
+std::vector<InstanceUid> ReadDeclined(Reader& reader) {
+  std::vector<InstanceUid> declined;
   const size_t count = reader.Number<uint8_t>();
   if (count > kMaxDeclines) {
     reader.Fail();
--- /dev/null
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -0,0 +1,359 @@
+#include "skylarkshunt/forwarding/entry_forwarder.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "packets.h"
+
+namespace skylarkshunt {
+namespace {
+
+const ServiceUid kService = MakeServiceUid("dispatch");
+constexpr uint32_t kOwnCentre = 1;
+constexpr uint32_t kOtherCentre = 2;
+
+Endpoint EndpointOf(uint64_t uid) {
+  return {0x0a020000 + static_cast<uint32_t>(uid), 7720};
+}
+
+AgentIdentity Identity(uint64_t uid,
+                       uint32_t centre = kOwnCentre,
+                       uint64_t incarnation = 1) {
+  AgentIdentity agent;
+  agent.uid = InstanceUid{uid};
+  agent.incarnation = Incarnation{incarnation};
+  agent.service = kService;
+  agent.data_centre = centre;
+  return agent;
+}
+
+AgentLoad Load(uint16_t busy, uint32_t service_time_us = 25'000) {
+  AgentLoad load;
+  load.slots = 4;
+  load.busy = busy;
+  load.service_time_us = service_time_us;
+  load.state = InstanceState::kServing;
+  return load;
+}
+
+std::shared_ptr<const RouteTable> Routes(uint64_t version = 1) {
+  auto table = std::make_shared<RouteTable>();
+  table->version = version;
+  Route route;
+  route.shares = {{kService, 1}};
+  route.latency_objective = absl::Milliseconds(150);
+  table->routes[FlowPackets().flow().service] = route;
+  return table;
+}
+
+class EntryForwarderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryForwarderTest);
+  CPPUNIT_TEST(FlowStaysWhereItWasPlaced);
+  CPPUNIT_TEST(FlowOfAnotherEntryIsFound);
+  CPPUNIT_TEST(FlowThatNobodyHoldsIsCutOnlyWhenAllHaveAnswered);
+  CPPUNIT_TEST(MissingAgentKeepsItsFlows);
+  CPPUNIT_TEST(YoungEntryCutsNothing);
+  CPPUNIT_TEST(BusyAgentPassesOpeningOn);
+  CPPUNIT_TEST(OpeningIsForcedAfterThreeDeclines);
+  CPPUNIT_TEST(RemovedRouteIsRefused);
+  CPPUNIT_TEST(OlderConfigurationIsIgnored);
+  CPPUNIT_TEST(WithoutConfigurationNothingIsSaid);
+  CPPUNIT_TEST(CopyLeavesASilentAgent);
+  CPPUNIT_TEST(RefusedAtOnceWhenNobodyAccepts);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    entry_.SetRoutes(Routes());
+    for (uint64_t uid = 1; uid <= 3; ++uid)
+      Report(uid, 0);
+  }
+
+  void FlowStaysWhereItWasPlaced() {
+    const FlowPackets flow;
+    Client(flow.Opening());
+    const Endpoint agent = actions_.to_agents.at(0).agent;
+    CPPUNIT_ASSERT(actions_.to_agents[0].message.mode == ForwardMode::kOpening);
+    // The load of others does not move it.
+    for (uint64_t uid = 1; uid <= 3; ++uid)
+      Report(uid, EndpointOf(uid) == agent ? 9 : 0);
+    Client(flow.Opening(1));
+    CPPUNIT_ASSERT(actions_.to_agents.at(0).agent == agent);
+    Client(flow.Request());
+    CPPUNIT_ASSERT(actions_.to_agents.at(0).agent == agent);
+    CPPUNIT_ASSERT(actions_.to_agents[0].message.mode ==
+                   ForwardMode::kEstablished);
+  }
+
+  // Pattern: an entry joins or leaves, and nearly all flows change their entry.
+  // Guards against flows that lose their target then.
+  void FlowOfAnotherEntryIsFound() {
+    const FlowPackets flow;
+    Client(flow.Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, actions_.to_agents.size());
+    CPPUNIT_ASSERT(actions_.to_agents[0].message.mode == ForwardMode::kSearch);
+    Placed(2, flow);
+    Client(flow.Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_agents.size());
+    CPPUNIT_ASSERT(actions_.to_agents[0].agent == EndpointOf(2));
+  }
+
+  // Guards against a reset of a flow that one target still holds.
+  void FlowThatNobodyHoldsIsCutOnlyWhenAllHaveAnswered() {
+    Age(absl::Seconds(3));
+    const FlowPackets flow;
+    Client(flow.Request());
+    Return(1, flow.Request(), ReturnReason::kNotHeld, ForwardMode::kSearch);
+    Return(2, flow.Request(), ReturnReason::kNotHeld, ForwardMode::kSearch);
+    Return(2, flow.Request(), ReturnReason::kNotHeld, ForwardMode::kSearch);
+    CPPUNIT_ASSERT(actions_.resets.empty());
+    Return(3, flow.Request(), ReturnReason::kNotHeld, ForwardMode::kSearch);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{9001}, actions_.resets[0].sequence);
+  }
+
+  // The target keeps its flows while its agent is gone.
+  void MissingAgentKeepsItsFlows() {
+    Age(absl::Seconds(3));
+    now_ += absl::Seconds(1);
+    Report(1, 0);
+    Report(2, 0);
+    const FlowPackets flow;
+    Client(flow.Request());
+    for (uint64_t uid : {1, 2})
+      Return(uid, flow.Request(), ReturnReason::kNotHeld, ForwardMode::kSearch);
+    CPPUNIT_ASSERT(actions_.resets.empty());
+  }
+
+  // Guards against a reset by an entry that does not know all agents yet.
+  void YoungEntryCutsNothing() {
+    const FlowPackets flow;
+    Client(flow.Request());
+    for (uint64_t uid = 1; uid <= 3; ++uid)
+      Return(uid, flow.Request(), ReturnReason::kNotHeld, ForwardMode::kSearch);
+    CPPUNIT_ASSERT(actions_.resets.empty());
+  }
+
+  void BusyAgentPassesOpeningOn() {
+    const FlowPackets flow;
+    Client(flow.Opening());
+    const Endpoint first = actions_.to_agents.at(0).agent;
+    Return(UidAt(first), flow.Opening(), ReturnReason::kBusy,
+           ForwardMode::kOpening);
+    const EntryActions::ToAgent& second = actions_.to_agents.at(0);
+    CPPUNIT_ASSERT(second.agent != first);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, second.message.declined.size());
+    Client(flow.Request());
+    CPPUNIT_ASSERT(actions_.to_agents.at(0).agent == second.agent ||
+                   actions_.to_agents.at(0).agent != first);
+  }
+
+  // Guards against an opening packet that goes round and round.
+  void OpeningIsForcedAfterThreeDeclines() {
+    const FlowPackets flow;
+    Client(flow.Opening());
+    std::vector<InstanceUid> declined;
+    for (int i = 0; i < 3; ++i) {
+      const uint64_t uid = UidAt(actions_.to_agents.at(0).agent);
+      Return(uid, flow.Opening(), ReturnReason::kBusy, ForwardMode::kOpening,
+             declined, 9);
+      declined.push_back(InstanceUid{uid});
+    }
+    const ForwardedPacket& forced = actions_.to_agents.at(0).message;
+    CPPUNIT_ASSERT_EQUAL(std::numeric_limits<uint32_t>::max(),
+                         forced.wait_limit_us);
+    CPPUNIT_ASSERT_EQUAL(kMaxDeclines, forced.declined.size());
+    Return(UidAt(actions_.to_agents.at(0).agent), flow.Opening(),
+           ReturnReason::kTargetRefused, ForwardMode::kOpening, declined, 9);
+    CPPUNIT_ASSERT(actions_.to_agents.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
+  }
+
+  void RemovedRouteIsRefused() {
+    const FlowPackets flow;
+    Client(flow.Opening());
+    auto without = std::make_shared<RouteTable>();
+    without->version = 2;
+    entry_.SetRoutes(without);
+    Client(flow.Request());
+    CPPUNIT_ASSERT(actions_.to_agents.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
+    PacketHeader reset = flow.Request();
+    reset.reset = true;
+    Client(reset);
+    CPPUNIT_ASSERT(actions_.resets.empty());
+  }
+
+  void OlderConfigurationIsIgnored() {
+    entry_.SetRoutes(Routes(9));
+    entry_.SetRoutes(Routes(8));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{9}, entry_.routes()->version);
+  }
+
+  void WithoutConfigurationNothingIsSaid() {
+    EntryForwarder entry(kOwnCentre, kStart);
+    entry.OnClientPacket(FlowPackets().Opening(), kPacketBytes, kStart,
+                         actions_);
+    CPPUNIT_ASSERT(actions_.resets.empty());
+    CPPUNIT_ASSERT(actions_.to_agents.empty());
+  }
+
+  // Guards against a caller that gives up because its first agent died.
+  void CopyLeavesASilentAgent() {
+    const FlowPackets flow;
+    Client(flow.Opening());
+    const Endpoint first = actions_.to_agents.at(0).agent;
+    now_ += absl::Milliseconds(400);
+    for (uint64_t uid = 1; uid <= 3; ++uid) {
+      if (EndpointOf(uid) != first)
+        Report(uid, 0);
+    }
+    Client(flow.Opening(1));
+    CPPUNIT_ASSERT(actions_.to_agents.at(0).agent != first);
+  }
+
+  void RefusedAtOnceWhenNobodyAccepts() {
+    Age(absl::Seconds(3));
+    for (uint64_t uid = 1; uid <= 3; ++uid) {
+      AgentLoad load = Load(0);
+      load.state = InstanceState::kDraining;
+      entry_.agents().Update(Identity(uid), load, EndpointOf(uid), now_);
+    }
+    Client(FlowPackets().Opening());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
+  }
+
+ private:
+  static uint64_t UidAt(Endpoint agent) { return agent.address - 0x0a020000; }
+
+  void Report(uint64_t uid, uint16_t busy) {
+    AgentReport report;
+    report.agent = Identity(uid);
+    report.sequence = ++sequence_;
+    report.load = Load(busy);
+    entry_.agents().UpdateFromReport(report, EndpointOf(uid), now_);
+  }
+
+  /// Lets the entry grow older, with all agents reporting.
+  void Age(absl::Duration time) {
+    now_ += time;
+    for (uint64_t uid = 1; uid <= 3; ++uid)
+      Report(uid, 0);
+  }
+
+  void Client(const PacketHeader& header) {
+    actions_.Clear();
+    entry_.OnClientPacket(header, kPacketBytes, now_, actions_);
+  }
+
+  void Placed(uint64_t uid, const FlowPackets& flow) {
+    actions_.Clear();
+    entry_.OnPlaced({Identity(uid), Load(1), flow.flow()}, EndpointOf(uid),
+                    now_, actions_);
+  }
+
+  void Return(uint64_t uid,
+              const PacketHeader& header,
+              ReturnReason reason,
+              ForwardMode mode,
+              std::vector<InstanceUid> declined = {},
+              uint16_t busy = 4) {
+    ReturnedPacket returned;
+    returned.agent = Identity(uid);
+    returned.load = Load(busy);
+    returned.reason = reason;
+    returned.mode = mode;
+    returned.declined = std::move(declined);
+    returned.packet = kPacketBytes;
+    actions_.Clear();
+    entry_.OnReturned(returned, header, EndpointOf(uid), now_, actions_);
+  }
+
+  absl::Time now_ = kStart;
+  uint64_t sequence_ = 0;
+  EntryForwarder entry_{kOwnCentre, kStart};
+  EntryActions actions_;
+};
+
+class PlacementByLoadTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlacementByLoadTest);
+  CPPUNIT_TEST(OwnDataCentreIsPreferredWhileItHasSlots);
+  CPPUNIT_TEST(SlowTargetIsPassedOver);
+  CPPUNIT_TEST(UnreportedFlowsCount);
+  CPPUNIT_TEST(SilentAndDrainingAgentsGetNothing);
+  CPPUNIT_TEST(OlderIncarnationChangesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OwnDataCentreIsPreferredWhileItHasSlots() {
+    directory_.Update(Identity(1, kOwnCentre), Load(2), EndpointOf(1), kStart);
+    directory_.Update(Identity(2, kOtherCentre), Load(1), EndpointOf(2),
+                      kStart);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Place());
+    directory_.Update(Identity(1, kOwnCentre), Load(4), EndpointOf(1), kStart);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Place());
+  }
+
+  // Pattern: one target works five times slower. Guards against giving it the
+  // same share of the callers.
+  void SlowTargetIsPassedOver() {
+    directory_.Update(Identity(1), Load(0, 125'000), EndpointOf(1), kStart);
+    directory_.Update(Identity(2), Load(4, 25'000), EndpointOf(2), kStart);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Place());
+    directory_.Update(Identity(2), Load(22, 25'000), EndpointOf(2), kStart);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Place());
+  }
+
+  // Guards against a crowd at the agent whose report is the oldest.
+  void UnreportedFlowsCount() {
+    directory_.Update(Identity(1), Load(0), EndpointOf(1), kStart);
+    directory_.Update(Identity(2), Load(1), EndpointOf(2), kStart);
+    AgentView* first = directory_.Find(InstanceUid{1});
+    first->unreported = 4;
+    first->last_sent = kStart;
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Place());
+  }
+
+  void SilentAndDrainingAgentsGetNothing() {
+    AgentLoad draining = Load(0);
+    draining.state = InstanceState::kDraining;
+    directory_.Update(Identity(1), draining, EndpointOf(1), kStart);
+    directory_.Update(Identity(2), Load(0), EndpointOf(2),
+                      kStart - absl::Seconds(1));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, Place());
+    CPPUNIT_ASSERT(!directory_.IsComplete(kService, kStart));
+  }
+
+  // Guards against a late message of an earlier run of an agent.
+  void OlderIncarnationChangesNothing() {
+    directory_.Update(Identity(1, kOwnCentre, 7), Load(0), EndpointOf(1),
+                      kStart);
+    AgentLoad late = Load(0);
+    late.state = InstanceState::kDown;
+    CPPUNIT_ASSERT(directory_.Update(Identity(1, kOwnCentre, 6), late,
+                                     EndpointOf(1),
+                                     kStart) == AgentNews::kNone);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Place());
+    CPPUNIT_ASSERT(directory_.Update(Identity(1, kOwnCentre, 8), Load(0),
+                                     EndpointOf(1),
+                                     kStart) == AgentNews::kRestarted);
+  }
+
+ private:
+  uint64_t Place() {
+    PlacementRequest request;
+    request.service = kService;
+    request.data_centre = kOwnCentre;
+    const auto placement = PlaceFlow(directory_, request, kStart);
+    return placement.has_value() ? ToNumber(placement->agent->identity.uid) : 0;
+  }
+
+  AgentDirectory directory_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryForwarderTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementByLoadTest);
+
+}  // namespace
+}  // namespace skylarkshunt
--- /dev/null
+++ b/unittests/forwarding/node_codec_test.cc
@@ -0,0 +1,120 @@
+#include "skylarkshunt/forwarding/node_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+#include "packets.h"
+
+namespace skylarkshunt {
+namespace {
+
+AgentIdentity MakeIdentity() {
+  return {InstanceUid{0x1122334455667788}, Incarnation{99}, ServiceUid{7}, 3};
+}
+
+std::vector<NodeMessage> OneOfEach() {
+  AgentReport agent;
+  agent.agent = MakeIdentity();
+  agent.sequence = 4;
+  agent.load = {4, 2, 17, 25'000, InstanceState::kDraining};
+  agent.configuration = Revision{12};
+  EntryReport entry;
+  entry.uid = InstanceUid{5};
+  entry.leaving = true;
+  entry.nodes = {{0x0a010203, Role::kEntry}, {0x0a010204, Role::kAgent}};
+  ForwardedPacket forwarded;
+  forwarded.mode = ForwardMode::kSearch;
+  forwarded.priority = 1;
+  forwarded.objective_ms = 150;
+  forwarded.declined = {InstanceUid{1}, InstanceUid{2}};
+  forwarded.packet = kPacketBytes;
+  ReturnedPacket returned;
+  returned.agent = MakeIdentity();
+  returned.reason = ReturnReason::kTargetSilent;
+  returned.packet = kPacketBytes;
+  FlowPlaced placed;
+  placed.agent = MakeIdentity();
+  placed.flow = FlowPackets().flow();
+  return {agent, entry, forwarded, returned, placed};
+}
+
+class NodeCodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NodeCodecTest);
+  CPPUNIT_TEST(MessagesSurviveTheWay);
+  CPPUNIT_TEST(CutOffMessagesAreRefused);
+  CPPUNIT_TEST(SurplusAndForeignBytesAreRefused);
+  CPPUNIT_TEST(RandomBytesDoNoHarm);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void MessagesSurviveTheWay() {
+    for (const NodeMessage& message : OneOfEach()) {
+      std::vector<uint8_t> first;
+      EncodeNodeMessage(message, first);
+      const Result<NodeMessage> read = DecodeNodeMessage(first);
+      CPPUNIT_ASSERT(read.has_value());
+      CPPUNIT_ASSERT_EQUAL(message.index(), read.value().index());
+      std::vector<uint8_t> second;
+      EncodeNodeMessage(read.value(), second);
+      CPPUNIT_ASSERT(first == second);
+    }
+    std::vector<uint8_t> bytes;
+    EncodeNodeMessage(OneOfEach()[0], bytes);
+    const NodeMessage read = DecodeNodeMessage(bytes).value();
+    const auto& report = std::get<AgentReport>(read);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{25'000}, report.load.service_time_us);
+    CPPUNIT_ASSERT(report.load.state == InstanceState::kDraining);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{12}, ToNumber(report.configuration));
+  }
+
+  void CutOffMessagesAreRefused() {
+    for (const NodeMessage& message : OneOfEach()) {
+      std::vector<uint8_t> bytes;
+      EncodeNodeMessage(message, bytes);
+      // The packet at the end of two messages may have any length.
+      const size_t packet =
+          std::holds_alternative<ForwardedPacket>(message) ||
+                  std::holds_alternative<ReturnedPacket>(message)
+              ? kPacketBytes.size()
+              : 0;
+      for (size_t size = 0; size + packet < bytes.size(); ++size) {
+        CPPUNIT_ASSERT(
+            !DecodeNodeMessage(absl::MakeConstSpan(bytes.data(), size))
+                 .has_value());
+      }
+    }
+  }
+
+  void SurplusAndForeignBytesAreRefused() {
+    std::vector<uint8_t> bytes;
+    EncodeNodeMessage(OneOfEach()[0], bytes);
+    bytes.push_back(0);
+    CPPUNIT_ASSERT(!DecodeNodeMessage(bytes).has_value());
+    EncodeNodeMessage(OneOfEach()[0], bytes);
+    bytes[0] = 200;
+    CPPUNIT_ASSERT(!DecodeNodeMessage(bytes).has_value());
+    bytes[0] = 1;
+    bytes[1] = 200;
+    CPPUNIT_ASSERT(!DecodeNodeMessage(bytes).has_value());
+  }
+
+  void RandomBytesDoNoHarm() {
+    std::mt19937 random(1);
+    for (int i = 0; i < 20'000; ++i) {
+      std::vector<uint8_t> bytes(random() % 120);
+      for (uint8_t& byte : bytes)
+        byte = static_cast<uint8_t>(random());
+      if (bytes.size() > 2) {
+        bytes[0] = 1;
+        bytes[1] = static_cast<uint8_t>(1 + random() % 5);
+      }
+      static_cast<void>(DecodeNodeMessage(bytes));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeCodecTest);
+
+}  // namespace
+}  // namespace skylarkshunt
--- /dev/null
+++ b/unittests/forwarding/node_directory_test.cc
@@ -0,0 +1,91 @@
+#include "skylarkshunt/forwarding/node_directory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "packets.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr uint32_t kSelf = 1;
+constexpr absl::Duration kInterval = absl::Milliseconds(100);
+
+class NodeDirectoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NodeDirectoryTest);
+  CPPUNIT_TEST(SeedsAreAskedUntilTheyAnswer);
+  CPPUNIT_TEST(AgentReportsToEntriesOnly);
+  CPPUNIT_TEST(NodeThatComesBackIsGreetedAtOnce);
+  CPPUNIT_TEST(SilentNodesAreForgottenAndSeedsStay);
+  CPPUNIT_TEST(PresentNodesPutEntriesFirst);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a node that never finds the others, since it started before
+  // its seeds.
+  void SeedsAreAskedUntilTheyAnswer() {
+    const std::vector<uint32_t> seeds = {kSelf, 2, 3};
+    NodeDirectory nodes(Role::kAgent, kSelf, kInterval, seeds, kStart);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Due(nodes, kStart).size());
+    CPPUNIT_ASSERT(Due(nodes, kStart + absl::Milliseconds(100)).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{2},
+                         Due(nodes, kStart + absl::Milliseconds(200)).size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Due(nodes, kStart + absl::Hours(1)).size());
+    CPPUNIT_ASSERT(!nodes.HasPresentEntry(kStart));
+  }
+
+  void AgentReportsToEntriesOnly() {
+    NodeDirectory nodes(Role::kAgent, kSelf, kInterval, {}, kStart);
+    nodes.Learn({5, Role::kAgent}, kStart);
+    nodes.Learn({6, Role::kEntry}, kStart);
+    CPPUNIT_ASSERT(Due(nodes, kStart) == std::vector<uint32_t>{6});
+    NodeDirectory entry(Role::kEntry, kSelf, kInterval, {}, kStart);
+    entry.Learn({5, Role::kAgent}, kStart);
+    CPPUNIT_ASSERT(Due(entry, kStart) == std::vector<uint32_t>{5});
+  }
+
+  void NodeThatComesBackIsGreetedAtOnce() {
+    NodeDirectory nodes(Role::kEntry, kSelf, kInterval, {}, kStart);
+    CPPUNIT_ASSERT(nodes.Heard({5, Role::kAgent}, kStart));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Due(nodes, kStart).size());
+    const absl::Time soon = kStart + absl::Milliseconds(10);
+    CPPUNIT_ASSERT(!nodes.Heard({5, Role::kAgent}, soon));
+    CPPUNIT_ASSERT(Due(nodes, soon).empty());
+    const absl::Time later = kStart + absl::Seconds(10);
+    Due(nodes, later);
+    CPPUNIT_ASSERT(nodes.Heard({5, Role::kAgent}, later));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Due(nodes, later).size());
+  }
+
+  void SilentNodesAreForgottenAndSeedsStay() {
+    const std::vector<uint32_t> seeds = {2};
+    NodeDirectory nodes(Role::kEntry, kSelf, kInterval, seeds, kStart);
+    nodes.Heard({5, Role::kAgent}, kStart);
+    const absl::Time later = kStart + absl::Minutes(2);
+    nodes.ForgetSilent(later);
+    CPPUNIT_ASSERT(Due(nodes, later) == std::vector<uint32_t>{2});
+  }
+
+  void PresentNodesPutEntriesFirst() {
+    NodeDirectory nodes(Role::kEntry, kSelf, kInterval, {}, kStart);
+    for (uint32_t address = 10; address < 20; ++address)
+      nodes.Heard({address, Role::kAgent}, kStart);
+    nodes.Heard({30, Role::kEntry}, kStart);
+    nodes.Learn({31, Role::kEntry}, kStart);
+    const std::vector<NodeAddress> present = nodes.Present(kStart, 4);
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, present.size());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{30}, present[0].address);
+    CPPUNIT_ASSERT(nodes.HasPresentEntry(kStart));
+  }
+
+ private:
+  static std::vector<uint32_t> Due(NodeDirectory& nodes, absl::Time now) {
+    std::vector<uint32_t> due;
+    nodes.TakeDue(now, due);
+    return due;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeDirectoryTest);
+
+}  // namespace
+}  // namespace skylarkshunt
--- /dev/null
+++ b/unittests/forwarding/target_state_test.cc
@@ -0,0 +1,95 @@
+#include "skylarkshunt/forwarding/target_state.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "packets.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr absl::Duration kInterval = absl::Seconds(1);
+
+TargetReport Report(const char* id, int64_t started_ms, uint64_t sequence) {
+  TargetReport report;
+  report.id = id;
+  report.service = "dispatch";
+  report.started_unix_ms = started_ms;
+  report.sequence = sequence;
+  report.slots = 4;
+  return report;
+}
+
+class TargetStateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetStateTest);
+  CPPUNIT_TEST(HeldUpReportOfAnEarlierIncarnationIsIgnored);
+  CPPUNIT_TEST(ReportsOutOfOrderAreIgnored);
+  CPPUNIT_TEST(SameIdMayStartAgain);
+  CPPUNIT_TEST(SilenceEjectsAndAReportRestores);
+  CPPUNIT_TEST(LeaveOfAnotherTargetIsIgnored);
+  CPPUNIT_TEST(OnlyTheFirstReportProvesThatAllFlowsAreKnown);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a dead target that comes back to life by a late report.
+  void HeldUpReportOfAnEarlierIncarnationIsIgnored() {
+    target_.OnReport(Report("i-2", 2000, 3), kStart);
+    TargetReport late = Report("i-1", 1000, 90);
+    late.draining = true;
+    CPPUNIT_ASSERT(target_.OnReport(late, kStart) == TargetNews::kNone);
+    CPPUNIT_ASSERT(target_.state(kStart) == InstanceState::kServing);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), target_.id());
+  }
+
+  void ReportsOutOfOrderAreIgnored() {
+    TargetReport draining = Report("i-1", 1000, 5);
+    draining.draining = true;
+    target_.OnReport(draining, kStart);
+    CPPUNIT_ASSERT(target_.OnReport(Report("i-1", 1000, 4), kStart) ==
+                   TargetNews::kNone);
+    CPPUNIT_ASSERT(target_.state(kStart) == InstanceState::kDraining);
+  }
+
+  void SameIdMayStartAgain() {
+    target_.OnReport(Report("i-1", 1000, 50), kStart);
+    CPPUNIT_ASSERT(target_.OnReport(Report("i-1", 3000, 1), kStart) ==
+                   TargetNews::kStartedAgain);
+    CPPUNIT_ASSERT(target_.seen_from_start());
+  }
+
+  void SilenceEjectsAndAReportRestores() {
+    target_.OnReport(Report("i-1", 1000, 1), kStart);
+    const absl::Time later = kStart + absl::Seconds(4);
+    CPPUNIT_ASSERT(target_.state(later) == InstanceState::kEjected);
+    CPPUNIT_ASSERT(target_.OnReport(Report("i-1", 1000, 2), later) ==
+                   TargetNews::kState);
+    CPPUNIT_ASSERT(target_.state(later) == InstanceState::kServing);
+    target_.OnSilent(later);
+    CPPUNIT_ASSERT(target_.state(later) == InstanceState::kEjected);
+    target_.OnAlive();
+    CPPUNIT_ASSERT(target_.state(later) == InstanceState::kServing);
+  }
+
+  void LeaveOfAnotherTargetIsIgnored() {
+    target_.OnReport(Report("i-2", 2000, 1), kStart);
+    CPPUNIT_ASSERT(!target_.OnLeave("i-1"));
+    CPPUNIT_ASSERT(target_.state(kStart) == InstanceState::kServing);
+    CPPUNIT_ASSERT(target_.OnLeave("i-2"));
+    CPPUNIT_ASSERT(target_.state(kStart) == InstanceState::kDown);
+    // Its last report may come after its goodbye.
+    target_.OnReport(Report("i-2", 2000, 2), kStart);
+    CPPUNIT_ASSERT(target_.state(kStart) == InstanceState::kDown);
+  }
+
+  void OnlyTheFirstReportProvesThatAllFlowsAreKnown() {
+    target_.OnReport(Report("i-1", 1000, 8), kStart);
+    CPPUNIT_ASSERT(!target_.seen_from_start());
+  }
+
+ private:
+  TargetState target_{"dispatch", kInterval};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TargetStateTest);
+
+}  // namespace
+}  // namespace skylarkshunt
--- /dev/null
+++ b/unittests/platform_adapter/platform_adapter_test.cc
@@ -0,0 +1,276 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+#include <string>
+
+#include "platform/configuration_document.h"
+#include "platform/endpoints.h"
+#include "platform/node_settings.h"
+#include "platform/packet_format.h"
+#include "platform/store_wire.h"
+
+namespace skylarkshunt {
+namespace {
+
+/// The opening packet that the platform's protocol page shows.
+const std::vector<uint8_t> kPublishedOpening = {
+    0x00, 0x00, 0x00, 0x00, 0x41, 0x9c, 0x07, 0x00, 0x40, 0x64, 0xbb,
+    0x01, 0x01, 0x00, 0x12, 0xc6, 0x00, 0x00, 0x44, 0x33, 0x22, 0x11,
+    0x00, 0x00, 0x00, 0x00, 0xd5, 0xc3, 0xb2, 0xa1, 0x10};
+const std::vector<uint8_t> kPublishedReset = {
+    0x00, 0x00, 0x00, 0x00, 0xbb, 0x01, 0x01, 0x00, 0x12, 0xc6, 0x41,
+    0x9c, 0x07, 0x00, 0x40, 0x64, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x01};
+
+constexpr char kConfiguration[] = R"({"version":7,"routes":[
+ {"name":"a","host":"198.18.0.1","path-prefix":"/8443/","kind":"idempotent",
+  "timeout-ms":2500,"target-latency-ms":150,"priority":2,
+  "split":[{"service":"x","weight":90},{"service":"y","weight":10}]},
+ {"name":"b","host":"198.18.0.1","path-prefix":"/8080/",
+  "kind":"non_idempotent","timeout-ms":3000,"priority":1,"service":"x"}],
+ "services":[{"name":"x","health-path":"/health","max-conns":2000}],
+ "limits":{"idle-timeout-ms":15000}})";
+
+constexpr char kReport[] =
+    R"({"service":"x","addr":"10.0.0.9:80","zone":"z","version":"v1",
+        "slots":7,"state":"ready","warmup-left-ms":1500,"seq":4,
+        "born":1770748307450})";
+
+constexpr char kSettings[] =
+    "node-name=side-1\nmachine-class=side\nip=10.1.0.13\nzone=z\n"
+    "listen.data-addr=10.1.0.13:8172\nlisten.outbound=10.1.0.13:8162\n"
+    "listen.readiness-addr=10.1.0.13:8167\nlisten.control=10.1.0.13:8166\n"
+    "internal-port-range=7720,7735\nseeds=10.1.0.10:8166,nonsense\n"
+    "app=10.1.0.13:8165\nservice=x\nplatform.addr=10.200.1.7:8169\n"
+    "heartbeat-ms=1200\nunknown.key=1\n";
+
+/// Calls `read` with `text` after random edits. Whatever comes back, the
+/// process must live.
+template <typename Read>
+void Fuzz(const std::string& text, const Read& read) {
+  std::mt19937 random(7);
+  for (int i = 0; i < 5'000; ++i) {
+    std::string edited = text;
+    for (uint32_t edits = 1 + random() % 4; edits > 0; --edits) {
+      const size_t at = random() % edited.size();
+      switch (random() % 3) {
+        case 0:
+          edited[at] = static_cast<char>(random());
+          break;
+        case 1:
+          edited.erase(at, 1 + random() % 8);
+          break;
+        default:
+          edited.insert(at, edited.substr(random() % edited.size(), 9));
+      }
+      if (edited.empty())
+        edited = "{";
+    }
+    read(edited);
+  }
+  read(std::string(100'000, '['));
+  read(std::string(100'000, '{'));
+  read("");
+}
+
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+class PlatformAdapterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformAdapterTest);
+  CPPUNIT_TEST(PublishedPacketsAreUnderstood);
+  CPPUNIT_TEST(MarksChangeNothingElse);
+  CPPUNIT_TEST(BrokenPacketsAreRefused);
+  CPPUNIT_TEST(ConfigurationIsRead);
+  CPPUNIT_TEST(BrokenConfigurationsAreRefused);
+  CPPUNIT_TEST(StatusReportIsRead);
+  CPPUNIT_TEST(ForeignStatusReportsAreRefused);
+  CPPUNIT_TEST(EndpointsAnswer);
+  CPPUNIT_TEST(SettingsAreRead);
+  CPPUNIT_TEST(BrokenSettingsNameTheKey);
+  CPPUNIT_TEST(BrokenStoreAnswersAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void PublishedPacketsAreUnderstood() {
+    const PacketHeader header = format_->Read(kPublishedOpening).value();
+    CPPUNIT_ASSERT_EQUAL(std::string("100.64.0.7:40001>198.18.0.1:443"),
+                         header.flow_from_client().ToString());
+    CPPUNIT_ASSERT(header.opening && !header.reset && !header.returned);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0x11223344}, header.sequence);
+    CPPUNIT_ASSERT(header.opening_time_left == absl::Milliseconds(1400));
+    CPPUNIT_ASSERT(format_->MakeReset(header.flow_from_client(), 0) ==
+                   kPublishedReset);
+    std::vector<uint8_t> copy = kPublishedOpening;
+    copy[22] = 2;
+    CPPUNIT_ASSERT(format_->Read(copy).value().opening_age ==
+                   absl::Milliseconds(600));
+  }
+
+  // A target refuses a packet that its client did not write so.
+  void MarksChangeNothingElse() {
+    std::vector<uint8_t> packet = kPublishedOpening;
+    packet[30] |= 8;
+    CPPUNIT_ASSERT(format_->Read(packet).value().returned);
+    format_->SetReturnToken(absl::MakeSpan(packet), 0x01020304);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0x01020304},
+                         format_->Read(packet).value().return_token);
+    format_->SetReturnToken(absl::MakeSpan(packet), 0);
+    CPPUNIT_ASSERT(packet == kPublishedOpening);
+  }
+
+  void BrokenPacketsAreRefused() {
+    for (size_t size = 0; size < kPublishedOpening.size(); ++size) {
+      CPPUNIT_ASSERT(
+          !format_->Read(absl::MakeConstSpan(kPublishedOpening.data(), size))
+               .has_value());
+    }
+    std::vector<uint8_t> longer = kPublishedOpening;
+    longer.push_back(0);
+    CPPUNIT_ASSERT(!format_->Read(longer).has_value());
+  }
+
+  void ConfigurationIsRead() {
+    const RouteTable table = ParseConfiguration(kConfiguration).value();
+    CPPUNIT_ASSERT_EQUAL(uint64_t{7}, table.version);
+    const Route* split = table.Find(Endpoint::Parse("198.18.0.1:8443").value());
+    CPPUNIT_ASSERT(split != nullptr && split->shares.size() == 2);
+    CPPUNIT_ASSERT(split->latency_objective == absl::Milliseconds(150));
+    const Route* route = table.Find(Endpoint::Parse("198.18.0.1:8080").value());
+    CPPUNIT_ASSERT(route != nullptr &&
+                   route->kind == RequestKind::kNonIdempotent);
+    CPPUNIT_ASSERT(route->latency_objective == absl::InfiniteDuration());
+    CPPUNIT_ASSERT(table.idle_timeout == absl::Seconds(15));
+    CPPUNIT_ASSERT_EQUAL(std::string("/health"),
+                         table.services.at(MakeServiceUid("x")).health_path);
+  }
+
+  void BrokenConfigurationsAreRefused() {
+    const std::string good = kConfiguration;
+    for (const std::string& text :
+         {Replaced(good, "\"version\":7", "\"version\":\"7\""),
+          Replaced(good, "/8443/", "/x/"),
+          Replaced(good, "\"kind\":\"idempotent\"", "\"kind\":\"odd\""),
+          Replaced(good, ",\"service\":\"x\"}]", "}]"), std::string("[]"),
+          std::string("{\"version\":1,\"routes\":3}")}) {
+      CPPUNIT_ASSERT_MESSAGE(text, !ParseConfiguration(text).has_value());
+    }
+    Fuzz(good, [](const std::string& text) {
+      static_cast<void>(ParseConfiguration(text));
+    });
+  }
+
+  void StatusReportIsRead() {
+    const TargetReport report = ParseStatusReport("i-1", kReport).value();
+    CPPUNIT_ASSERT_EQUAL(uint32_t{7}, report.slots);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{4}, report.sequence);
+    CPPUNIT_ASSERT_EQUAL(int64_t{1770748307450}, report.started_unix_ms);
+    CPPUNIT_ASSERT(report.warmup_left == absl::Milliseconds(1500));
+    CPPUNIT_ASSERT(!report.draining);
+  }
+
+  void ForeignStatusReportsAreRefused() {
+    const std::string good = kReport;
+    for (const std::string& text :
+         {Replaced(good, "\"ready\"", "\"resting\""),
+          Replaced(good, "\"slots\":7", "\"slots\":\"7\""),
+          Replaced(good, "\"seq\":4,", ""), Replaced(good, ":7,", ":70000,"),
+          Replaced(good, "1770748307450", "1.5"), Replaced(good, "\"x\"", "17"),
+          std::string(5'000, ' ') + good}) {
+      CPPUNIT_ASSERT_MESSAGE(text, !ParseStatusReport("i-1", text).has_value());
+    }
+    CPPUNIT_ASSERT(!ParseStatusReport("", good).has_value());
+    Fuzz(good, [](const std::string& text) {
+      static_cast<void>(ParseStatusReport("i-1", text));
+    });
+  }
+
+  void EndpointsAnswer() {
+    bool ready = false;
+    std::string reported;
+    std::string left;
+    NodeHooks hooks;
+    hooks.is_ready = [&] { return ready; };
+    hooks.on_target_report = [&](const TargetReport& report) {
+      reported = report.id;
+      return true;
+    };
+    hooks.on_target_left = [&](absl::string_view id) {
+      left = std::string(id);
+      return true;
+    };
+    const HttpServer::Handler readiness = MakeReadinessHandler(hooks);
+    CPPUNIT_ASSERT_EQUAL(503,
+                         readiness({"GET", "/skylarkshunt/ready", ""}).status);
+    ready = true;
+    CPPUNIT_ASSERT_EQUAL(200,
+                         readiness({"GET", "/skylarkshunt/ready", ""}).status);
+    CPPUNIT_ASSERT_EQUAL(404, readiness({"GET", "/else", ""}).status);
+    const HttpServer::Handler reports = MakeStatusReportHandler(hooks);
+    const absl::string_view path = "/skylarkshunt/Instances.Heartbeat/i-1";
+    CPPUNIT_ASSERT_EQUAL(200, reports({"POST", path, kReport}).status);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), reported);
+    CPPUNIT_ASSERT_EQUAL(400, reports({"POST", path, "{}"}).status);
+    reports({"POST", "/skylarkshunt/Instances.Leave/i-2", ""});
+    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), left);
+  }
+
+  void SettingsAreRead() {
+    const NodeOptions options = ParseNodeSettings(kSettings).value();
+    CPPUNIT_ASSERT(options.role == Role::kAgent);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.13:7720"),
+                         options.peers.ToString());
+    CPPUNIT_ASSERT_EQUAL(uint16_t{8172}, options.client_port);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, options.seeds.size());
+    CPPUNIT_ASSERT(options.target_report_interval == absl::Milliseconds(1200));
+  }
+
+  void BrokenSettingsNameTheKey() {
+    for (const char* key : {"node-name", "ip", "app", "service",
+                            "platform.addr", "internal-port-range"}) {
+      const std::string line = std::string(key) + "=";
+      const Result<NodeOptions> options =
+          ParseNodeSettings(Replaced(kSettings, line, "was-" + line));
+      CPPUNIT_ASSERT_MESSAGE(key, !options.has_value());
+      CPPUNIT_ASSERT(options.error().message.find(key) != std::string::npos);
+    }
+    Fuzz(kSettings, [](const std::string& text) {
+      static_cast<void>(ParseNodeSettings(text));
+    });
+  }
+
+  void BrokenStoreAnswersAreRefused() {
+    const std::string page =
+        R"({"items":[{"meta":{"name":"a","rev":3},"spec":{"x":1}}],
+            "more":false,"current-rev":9})";
+    CPPUNIT_ASSERT_EQUAL(std::string("kind/a"),
+                         ParsePage("kind", page).value().objects[0].key);
+    CPPUNIT_ASSERT(
+        !ParsePage("kind", Replaced(page, "\"rev\":3", "\"rev\":\"3\""))
+             .has_value());
+    const std::string events =
+        R"({"events":[{"removed":true,"object":{"meta":{"name":"a","rev":3}}}],
+            "current-rev":9})";
+    CPPUNIT_ASSERT(ParseEvents("kind", events).value().changes[0].deleted);
+    Fuzz(page, [](const std::string& text) {
+      static_cast<void>(ParsePage("kind", text));
+      static_cast<void>(ParseEvents("kind", text));
+      static_cast<void>(ParseObject("kind", text));
+    });
+    Fuzz(events, [](const std::string& text) {
+      static_cast<void>(ParseEvents("kind", text));
+    });
+  }
+
+ private:
+  const std::shared_ptr<const PacketFormat> format_ =
+      MakePlatformPacketFormat();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformAdapterTest);
+
+}  // namespace
+}  // namespace skylarkshunt
