Take returned opening packets for a sign of a crashed target

Cause: the address of a crashed target returns every packet at once.

Ruled out: full queues of targets; the agents had let through fewer requests than slots.

Change: after two returned opening packets in a row the target takes no flows until it answers, reports or passes its health check.

Test that failed before: CrashedTargetAttractsNoCallers.

--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -35,7 +35,11 @@
   void OnHealthy(uint32_t slots);
   /// The target did not answer an opening packet in time.
   void OnSilent(absl::Time now);
-  /// Any packet or health check of the target succeeded.
+  /// The target returned an opening packet. Returns whether it now counts as
+  /// silent: where a target has crashed, its address returns every packet at
+  /// once, and would look like the least loaded of all.
+  bool OnRefused();
+  /// The target answered a packet or a health check.
   void OnAlive();
   /// The target's address refuses connections: it has crashed.
   void OnCrashed();
@@ -61,6 +65,8 @@
   bool draining_ = false;
   bool left_ = false;
   bool silent_ = false;
+  /// Opening packets returned since the target last answered.
+  int refusals_ = 0;
   bool seen_from_start_ = false;
 };
 
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -307,11 +307,11 @@
                                     absl::Time now,
                                     AgentActions& actions) {
   served_.clear();
-  target_.OnAlive();
   if (header.returned) {
     OnReturnedByTarget(header, packet, now, actions);
     return;
   }
+  target_.OnAlive();
   const FlowId id = header.flow_to_client();
   const auto known = flows_.find(id);
   if (known != flows_.end()) {
@@ -378,7 +378,10 @@
   if (header.opening) {
     if (known != flows_.end() && known->second.phase == Phase::kOpening)
       EraseFlow(id);
+    if (target_.OnRefused())
+      actions.probe_target = true;
     GiveBack(delivery, ReturnReason::kTargetRefused, packet, now, actions);
+    ServeQueue(now, actions);
     return;
   }
   const bool lost =
--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -7,6 +7,10 @@
 
 /// Missed reports after which a target counts as silent.
 constexpr int kMissedReports = 3;
+/// Opening packets returned in a row after which a target takes none. It gets
+/// fewer at a time than it has room for, so that one may be a matter of a limit
+/// and two are not.
+constexpr int kRefusalsUntilSilent = 2;
 /// Sequence numbers up to this one are taken for the first report; a target
 /// counts from 0 or 1.
 constexpr uint64_t kFirstSequence = 1;
@@ -35,7 +39,7 @@
   known_ = true;
   reported_ = true;
   left_ = false;
-  silent_ = false;
+  OnAlive();
   id_ = report.id;
   started_unix_ms_ = report.started_unix_ms;
   sequence_ = report.sequence;
@@ -69,8 +73,16 @@
   silent_ = true;
 }
 
+bool TargetState::OnRefused() {
+  ++refusals_;
+  if (refusals_ >= kRefusalsUntilSilent)
+    silent_ = true;
+  return silent_;
+}
+
 void TargetState::OnAlive() {
   silent_ = false;
+  refusals_ = 0;
 }
 
 void TargetState::OnCrashed() {
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(OtherServiceIsGivenBack);
   CPPUNIT_TEST(SilentTargetLosesItsOpeningsToOthers);
   CPPUNIT_TEST(ReturnedOpeningGoesBackToItsEntry);
+  CPPUNIT_TEST(CrashedTargetAttractsNoCallers);
   CPPUNIT_TEST(UnknownFlowIsAskedForOnceAfterARestart);
   CPPUNIT_TEST(UnknownFlowIsNotHeldByATargetSeenFromItsStart);
   CPPUNIT_TEST(GrantOfAnotherTargetIsNotHeld);
@@ -216,6 +217,28 @@
     CPPUNIT_ASSERT_EQUAL(uint16_t{0}, agent_.load(now_).busy);
   }
 
+  // Pattern: the address of a crashed target returns every packet at once.
+  // Guards against an agent that looks idle and draws all callers.
+  void CrashedTargetAttractsNoCallers() {
+    Start();
+    for (uint16_t port = 1; port <= 2; ++port) {
+      actions_.Clear();
+      Open(FlowPackets(port));
+      const uint32_t token = actions_.to_target.at(0).return_token;
+      agent_.OnTargetPacket(
+          FlowPackets::Returned(FlowPackets(port).Opening(), token),
+          kPacketBytes, now_, actions_);
+    }
+    CPPUNIT_ASSERT(!agent_.load(now_).accepts_flows());
+    CPPUNIT_ASSERT(actions_.probe_target);
+    actions_.Clear();
+    Open(FlowPackets(3));
+    CPPUNIT_ASSERT(actions_.to_target.empty());
+    CPPUNIT_ASSERT(GivenBack().reason == ReturnReason::kNotAccepting);
+    agent_.OnTargetReport(MakeReport(2), now_, actions_);
+    CPPUNIT_ASSERT(agent_.load(now_).accepts_flows());
+  }
+
   // Guards against an established flow that is cut because its agent started
   // again, and against its packets reaching other targets again and again.
   void UnknownFlowIsAskedForOnceAfterARestart() {
