Let operators ask nodes for status, metrics and the reasons behind a flow

Cause: on-call engineers have logs and metrics only, and a node showed neither what it believed nor why it placed, refused or cut a flow.

Its log writer slept for up to a second before it ended; it is woken now (EndsSoonWithoutLines).

--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -13,11 +13,17 @@
 
 namespace skylarkshunt {
 
-/// Time between two reports of an agent to an entry.
+/// Shortest time between two reports of an agent to an entry.
 inline constexpr absl::Duration kAgentReportInterval = absl::Milliseconds(100);
-/// Silence after which an agent gets no new flow: five reports, because a
-/// process with a twentieth of a core may be late by two or three.
+/// Least silence after which an agent gets no new flow: five of the shortest
+/// intervals, because a process with a twentieth of a core may be late by two
+/// or three.
 inline constexpr absl::Duration kAgentSuspectAfter = absl::Milliseconds(500);
+
+/// Returns the time between two reports of an agent to each of `entries`. It
+/// grows with their number, so that an agent sends about 125 reports a second
+/// in all, up to a second. Thread-safe.
+absl::Duration AgentReportInterval(size_t entries);
 /// Silence after which an agent is forgotten, and flows that nobody else holds
 /// are given up; longer than an agent needs to start again.
 inline constexpr absl::Duration kAgentForgottenAfter = absl::Seconds(6);
@@ -29,12 +35,17 @@
   AgentLoad load;
   uint64_t sequence = 0;
   Revision configuration{};
+  /// Silence after which it gets no new flow.
+  absl::Duration suspect_after = kAgentSuspectAfter;
   absl::Time heard;
   /// Opening packets sent there since it last told its load.
   uint32_t unreported = 0;
   absl::Time last_sent;
 };
 
+/// Whether the agent has been heard lately. Thread-safe on a const object.
+bool IsHeard(const AgentView& agent, absl::Time now);
+
 /// What became known with a message of an agent.
 enum class AgentNews : uint8_t {
   kNone,
--- a/include/skylarkshunt/forwarding/decision.h
+++ b/include/skylarkshunt/forwarding/decision.h
@@ -6,6 +6,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "skylarkshunt/base/ids.h"
+#include "skylarkshunt/forwarding/route_table.h"
 #include "skylarkshunt/packets/packet.h"
 
 namespace skylarkshunt {
@@ -33,6 +34,7 @@
   /// The agent that was chosen, or that answered.
   InstanceUid agent{};
   absl::string_view reason;
+  RequestKind request_kind = RequestKind::kNonIdempotent;
   /// Version of the configuration that was in force.
   uint64_t configuration = 0;
   /// Age of the load report behind a placement.
--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -51,6 +51,8 @@
   AgentLoad load;
   /// Revision of the configuration that the agent holds.
   Revision configuration{};
+  /// Time until the next report, in milliseconds.
+  uint16_t interval_ms = 0;
 };
 
 /// Address of a node and what runs there.
--- a/include/skylarkshunt/forwarding/node_directory.h
+++ b/include/skylarkshunt/forwarding/node_directory.h
@@ -34,6 +34,8 @@
   bool Heard(NodeAddress node, absl::Time now);
   /// Appends the addresses that get a report now, and notes that they do.
   void TakeDue(absl::Time now, std::vector<uint32_t>& due);
+  /// Changes the time between two reports to a node that is present.
+  void SetInterval(absl::Duration interval) { interval_ = interval; }
   /// Makes every present node due, for news that must not wait.
   void MakeAllDue();
   /// Forgets addresses that have been silent for long. Seeds stay.
@@ -41,8 +43,8 @@
 
   /// The nodes present, at most `limit`; entries come first.
   std::vector<NodeAddress> Present(absl::Time now, size_t limit) const;
-  /// Whether any entry other than this node is present.
-  bool HasPresentEntry(absl::Time now) const;
+  /// Number of present entries other than this node.
+  size_t CountPresentEntries(absl::Time now) const;
 
  private:
   struct Known {
@@ -58,7 +60,7 @@
 
   const Role self_;
   const uint32_t address_;
-  const absl::Duration interval_;
+  absl::Duration interval_;
   absl::flat_hash_map<uint32_t, Known> nodes_;
 };
 
--- a/include/skylarkshunt/node/node_options.h
+++ b/include/skylarkshunt/node/node_options.h
@@ -42,6 +42,8 @@
   Endpoint readiness;
   /// Agents: reports of the target (HTTP).
   Endpoint target_reports;
+  /// A further address of the operators' end point; port 0 for none.
+  Endpoint metrics;
   /// Addresses of entries that may be known, stale or down.
   std::vector<uint32_t> seeds;
   Endpoint store;
--- a/lib/base/log_writer.cc
+++ b/lib/base/log_writer.cc
@@ -52,14 +52,20 @@
       if (!first.has_value())
         continue;
       absl::SleepFor(kCollectTime);
-      WriteLogLine(first->severity, first->text);
+      Write(*first);
       WriteAll();
     }
   }
 
+  /// An empty line only wakes the thread.
+  static void Write(const QueuedLine& line) {
+    if (!line.text.empty())
+      WriteLogLine(line.severity, line.text);
+  }
+
   void WriteAll() {
     while (absl::optional<QueuedLine> line = lines_.TryPop())
-      WriteLogLine(line->severity, line->text);
+      Write(*line);
     std::map<int, uint64_t> left_out;
     {
       absl::MutexLock lock(&mutex_);
@@ -90,6 +96,7 @@
 RingLogWriter::~RingLogWriter() {
   g_writer.store(nullptr);
   stop_.store(true);
+  lines_.PushReplacingOldest({});
   thread_.join();
   WriteAll();
 }
--- a/lib/ctl/arguments.h
+++ b/lib/ctl/arguments.h
@@ -28,6 +28,8 @@
   kFlowShow,
   kEntryList,
   kStats,
+  kNodeStatus,
+  kNodeWhy,
   kConfigCheck,
   kVersion,
 };
--- a/lib/ctl/context.h
+++ b/lib/ctl/context.h
@@ -47,6 +47,8 @@
 Result<ExitCode> FlowShow(const Context& context);
 Result<ExitCode> EntryList(const Context& context);
 Result<ExitCode> Stats(const Context& context);
+Result<ExitCode> NodeStatusCommand(const Context& context);
+Result<ExitCode> NodeWhy(const Context& context);
 Result<ExitCode> ConfigCheck(const Context& context);
 
 }  // namespace skylarkshunt
--- a/lib/ctl/run.cc
+++ b/lib/ctl/run.cc
@@ -39,6 +39,10 @@
       return EntryList(context);
     case CommandId::kStats:
       return Stats(context);
+    case CommandId::kNodeStatus:
+      return NodeStatusCommand(context);
+    case CommandId::kNodeWhy:
+      return NodeWhy(context);
     case CommandId::kConfigCheck:
       return ConfigCheck(context);
     case CommandId::kVersion:
--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -25,6 +25,13 @@
 /// An agent may be this much worse than the second best before it declines, in
 /// microseconds: two hops between data centres.
 constexpr uint32_t kDeclineMarginUs = 2000;
+/// Reports that may be missing before an agent gets no new flow.
+constexpr int kMissedReports = 3;
+/// What each entry adds to the time between two reports.
+constexpr absl::Duration kIntervalPerEntry = absl::Milliseconds(8);
+/// An agent that is silent for three of these is noticed within the time that
+/// a client waits for its second copy to be answered elsewhere.
+constexpr absl::Duration kLongestReportInterval = absl::Seconds(1);
 constexpr uint64_t kTieSeed = 0x746965;
 
 struct Candidate {
@@ -45,13 +52,22 @@
 bool IsCandidate(const AgentView& agent,
                  const PlacementRequest& request,
                  absl::Time now) {
-  return agent.load.accepts_flows() && now - agent.heard < kAgentSuspectAfter &&
+  return agent.load.accepts_flows() && IsHeard(agent, now) &&
          std::find(request.declined.begin(), request.declined.end(),
                    agent.identity.uid) == request.declined.end();
 }
 
 }  // namespace
 
+absl::Duration AgentReportInterval(size_t entries) {
+  return std::min(std::max(kAgentReportInterval, kIntervalPerEntry * entries),
+                  kLongestReportInterval);
+}
+
+bool IsHeard(const AgentView& agent, absl::Time now) {
+  return now - agent.heard < agent.suspect_after;
+}
+
 AgentNews AgentDirectory::Update(const AgentIdentity& agent,
                                  const AgentLoad& load,
                                  Endpoint endpoint,
@@ -59,8 +75,12 @@
   AgentView* known = Find(agent.uid);
   if (known == nullptr) {
     service_of_[agent.uid] = agent.service;
-    agents_[agent.service].push_back(
-        AgentView{agent, endpoint, load, 0, Revision{}, now, 0, {}});
+    AgentView view;
+    view.identity = agent;
+    view.endpoint = endpoint;
+    view.load = load;
+    view.heard = now;
+    agents_[agent.service].push_back(view);
     return AgentNews::kAppeared;
   }
   if (agent.incarnation < known->identity.incarnation)
@@ -97,6 +117,9 @@
   if (agent->identity.incarnation == report.agent.incarnation) {
     agent->sequence = report.sequence;
     agent->configuration = report.configuration;
+    agent->suspect_after =
+        std::max(kAgentSuspectAfter,
+                 kMissedReports * absl::Milliseconds(report.interval_ms));
   }
   return news;
 }
@@ -138,8 +161,7 @@
 bool AgentDirectory::IsComplete(ServiceUid service, absl::Time now) {
   const absl::Span<AgentView> agents = OfService(service);
   return std::all_of(agents.begin(), agents.end(), [now](const AgentView& a) {
-    return a.load.state == InstanceState::kDown ||
-           now - a.heard < kAgentSuspectAfter;
+    return a.load.state == InstanceState::kDown || IsHeard(a, now);
   });
 }
 
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -351,6 +351,7 @@
     service_time_.Record(elapsed, flow.busy_before, target_.slots(), now);
     Decision decision =
         MakeDecision(DecisionKind::kAnswered, id, "first_byte", now);
+    decision.request_kind = flow.kind;
     decision.time = elapsed;
     actions.decisions.push_back(decision);
   }
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -22,8 +22,9 @@
 /// says of no flow that it does not exist.
 constexpr absl::Duration kSettleTime = absl::Seconds(2);
 /// Silence of an agent after which the copy of an opening packet goes to
-/// another one: three of its reports.
-constexpr absl::Duration kCopyElsewhereAfter = absl::Milliseconds(300);
+/// another one, as a share of the silence after which it gets no new flow: the
+/// copy is evidence of its own.
+constexpr double kCopyElsewhereAfter = 0.6;
 /// A client that waits no longer than this sends no further copy of its opening
 /// packet.
 constexpr absl::Duration kLastCopyTimeLeft = absl::Seconds(1);
@@ -115,7 +116,8 @@
   const auto cached = flows_.find(flow);
   if (cached != flows_.end()) {
     AgentView* agent = agents_.Find(cached->second.agent);
-    if (agent != nullptr && now - agent->heard < kCopyElsewhereAfter &&
+    if (agent != nullptr &&
+        now - agent->heard < kCopyElsewhereAfter * agent->suspect_after &&
         agent->identity.service == message.service) {
       cached->second.used = now;
       actions.to_agents.push_back({agent->endpoint, message});
--- a/lib/forwarding/node_codec.cc
+++ b/lib/forwarding/node_codec.cc
@@ -165,6 +165,7 @@
     writer.Number(report.sequence);
     Write(writer, report.load);
     writer.Identity(report.configuration);
+    writer.Number(report.interval_ms);
   }
   void operator()(const EntryReport& report) const {
     Writer writer(out, Type::kEntryReport);
@@ -215,6 +216,7 @@
   report.sequence = reader.Number<uint64_t>();
   report.load = ReadLoad(reader);
   report.configuration = reader.Identity<Revision>();
+  report.interval_ms = reader.Number<uint16_t>();
   return report;
 }
 
--- a/lib/forwarding/node_directory.cc
+++ b/lib/forwarding/node_directory.cc
@@ -107,11 +107,12 @@
   return present;
 }
 
-bool NodeDirectory::HasPresentEntry(absl::Time now) const {
-  return std::any_of(nodes_.begin(), nodes_.end(), [now](const auto& node) {
-    return node.second.role == Role::kEntry &&
-           now - node.second.heard <= kNodePresentFor;
-  });
+size_t NodeDirectory::CountPresentEntries(absl::Time now) const {
+  return static_cast<size_t>(
+      std::count_if(nodes_.begin(), nodes_.end(), [now](const auto& node) {
+        return node.second.role == Role::kEntry &&
+               now - node.second.heard <= kNodePresentFor;
+      }));
 }
 
 }  // namespace skylarkshunt
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -10,6 +10,7 @@
 #include "skylarkshunt/base/hash.h"
 #include "skylarkshunt/forwarding/agent_directory.h"
 #include "skylarkshunt/forwarding/agent_forwarder.h"
+#include "skylarkshunt/forwarding/node_codec.h"
 #include "skylarkshunt/forwarding/node_directory.h"
 #include "skylarkshunt/net/loop_thread.h"
 #include "skylarkshunt/net/poller.h"
@@ -45,7 +46,7 @@
         target_(std::move(target)),
         channel_(std::move(peers), options.node.peers.port, *options.counters),
         wakeup_(std::move(wakeup)),
-        log_(*options.counters),
+        log_(*options.counters, *options.history),
         malformed_(options.counters->Find(
             "skylarkshunt_packets_malformed_total",
             "Packets of clients or targets that were refused.")),
@@ -196,6 +197,7 @@
       next_sweep_ = now + absl::Seconds(1);
       nodes_.ForgetSilent(now);
       log_.ReportLeftOut(now);
+      PublishStatus(now);
     }
     UpdateState(now);
   }
@@ -255,6 +257,9 @@
 
   void SendReports(absl::Time now) {
     due_.clear();
+    const absl::Duration interval =
+        AgentReportInterval(nodes_.CountPresentEntries(now));
+    nodes_.SetInterval(interval);
     nodes_.TakeDue(now, due_);
     last_report_ = now;
     if (due_.empty())
@@ -264,6 +269,8 @@
     report.sequence = ++sequence_;
     report.load = forwarder_.load(now);
     report.configuration = configuration_;
+    report.interval_ms =
+        static_cast<uint16_t>(absl::ToInt64Milliseconds(interval));
     const NodeMessage message = report;
     for (const uint32_t address : due_)
       channel_.SendToNode(address, message);
@@ -288,6 +295,19 @@
         .Field("state", InstanceStateName(forwarder_.load(now).state));
   }
 
+  void PublishStatus(absl::Time now) {
+    NodeStatus status;
+    status.role = Role::kAgent;
+    status.ready = ready_.load();
+    status.leaving = leaving_;
+    status.configuration = configuration_;
+    status.nodes = nodes_.Present(now, kMaxReportedNodes);
+    status.load = forwarder_.load(now);
+    status.target_id = forwarder_.target().id();
+    status.time = now;
+    options_.board->Publish(std::move(status));
+  }
+
   void DiscardOld(absl::Duration gap) {
     size_t dropped = channel_.Discard();
     while (target_.Receive().has_value())
--- a/lib/node/data_loop.h
+++ b/lib/node/data_loop.h
@@ -5,6 +5,8 @@
 #include <string>
 
 #include "data_command.h"
+#include "decision_history.h"
+#include "node_status.h"
 #include "skylarkshunt/base/counters.h"
 #include "skylarkshunt/base/error.h"
 #include "skylarkshunt/base/ids.h"
@@ -23,6 +25,9 @@
     /// Must outlive the loop.
     CounterRegistry* counters = nullptr;
     DataNotices notices;
+    /// Both must outlive the loop.
+    DecisionHistory* history = nullptr;
+    NodeStatusBoard* board = nullptr;
   };
 
   /// The loop of the role that the options name. Errors: kAddressInUse,
--- a/lib/node/decision_log.cc
+++ b/lib/node/decision_log.cc
@@ -42,9 +42,32 @@
     {kFlowUnanswered, 50},
 }};
 
+constexpr char kFirstByteHelp[] =
+    "Time from a request to the first packet of its answer, at the agent.";
+
 }  // namespace
 
-DecisionLog::DecisionLog(CounterRegistry& counters) {
+absl::string_view DecisionName(DecisionKind kind) {
+  return kKinds[static_cast<size_t>(kind)].event.name;
+}
+
+DecisionLog::DecisionLog(CounterRegistry& counters, DecisionHistory& history)
+    : history_(history),
+      counters_(counters),
+      first_byte_{{{counters, "skylarkshunt_first_byte", kFirstByteHelp,
+                    "kind=\"idempotent\""},
+                   {counters, "skylarkshunt_first_byte", kFirstByteHelp,
+                    "kind=\"non_idempotent\""},
+                   {counters, "skylarkshunt_first_byte", kFirstByteHelp,
+                    "kind=\"download\""}}},
+      view_age_(counters,
+                "skylarkshunt_view_age",
+                "Age of the load report behind a placement.",
+                ""),
+      placement_wait_(counters,
+                      "skylarkshunt_placement_wait",
+                      "Expected wait for a slot of a placement.",
+                      "") {
   for (size_t i = 0; i < kDecisionKinds; ++i) {
     kinds_[i].total =
         &counters.Find("skylarkshunt_decisions_total",
@@ -57,6 +80,8 @@
   Kind& kind = kinds_[static_cast<size_t>(decision.kind)];
   const KindInfo& info = kKinds[static_cast<size_t>(decision.kind)];
   kind.total->Increment();
+  Count(decision);
+  history_.Add(now, decision);
   if (now - second_ >= absl::Seconds(1))
     ReportLeftOut(now);
   if (kind.logged >= info.lines_per_second) {
@@ -76,6 +101,33 @@
       .Field("configuration", decision.configuration);
 }
 
+void DecisionLog::Count(const Decision& decision) {
+  switch (decision.kind) {
+    case DecisionKind::kAnswered:
+      first_byte_[static_cast<size_t>(decision.request_kind)].Record(
+          decision.time);
+      return;
+    case DecisionKind::kPlaced:
+    case DecisionKind::kPlacedAgain:
+      view_age_.Record(decision.view_age);
+      placement_wait_.Record(decision.time);
+      return;
+    case DecisionKind::kRefused:
+    case DecisionKind::kCut:
+    case DecisionKind::kGivenBack:
+      counters_
+          .Find("skylarkshunt_refusals_total",
+                "Flows refused, cut or given back, by reason.",
+                MetricType::kCounter,
+                absl::StrCat("decision=\"", DecisionName(decision.kind),
+                             "\",reason=\"", decision.reason, "\""))
+          .Increment();
+      return;
+    default:
+      return;
+  }
+}
+
 void DecisionLog::ReportLeftOut(absl::Time now) {
   second_ = now;
   for (size_t i = 0; i < kDecisionKinds; ++i) {
--- a/lib/node/decision_log.h
+++ b/lib/node/decision_log.h
@@ -6,31 +6,45 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "decision_history.h"
+#include "latency_metric.h"
 #include "skylarkshunt/base/counters.h"
 #include "skylarkshunt/forwarding/decision.h"
 
 namespace skylarkshunt {
 
+/// The name of the event that is logged for decisions of `kind`. Thread-safe.
+absl::string_view DecisionName(DecisionKind kind);
+
 /// Logs and counts the decisions about flows. Each kind has a budget of lines a
 /// second; what is beyond it is counted and reported at the end of the second,
 /// so that the volume is bounded and nothing is left out silently. Belongs to
 /// one thread.
 class DecisionLog {
  public:
-  explicit DecisionLog(CounterRegistry& counters);
+  /// `counters` and `history` must outlive the log.
+  DecisionLog(CounterRegistry& counters, DecisionHistory& history);
 
   void Record(absl::Time now, const Decision& decision);
   /// Reports what was left out in the past second. Call it about every second.
   void ReportLeftOut(absl::Time now);
 
  private:
+  void Count(const Decision& decision);
+
   struct Kind {
     Counter* total = nullptr;
     uint32_t logged = 0;
     uint32_t left_out = 0;
   };
 
+  DecisionHistory& history_;
+  CounterRegistry& counters_;
   std::array<Kind, kDecisionKinds> kinds_;
+  /// By RequestKind.
+  std::array<LatencyMetric, 3> first_byte_;
+  LatencyMetric view_age_;
+  LatencyMetric placement_wait_;
   absl::Time second_ = absl::InfinitePast();
 };
 
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -50,7 +50,7 @@
         clients_(std::move(clients)),
         channel_(std::move(peers), options.node.peers.port, *options.counters),
         wakeup_(std::move(wakeup)),
-        log_(*options.counters),
+        log_(*options.counters, *options.history),
         malformed_(options.counters->Find(
             "skylarkshunt_packets_malformed_total",
             "Packets of clients or targets that were refused.")),
@@ -240,6 +240,7 @@
     forwarder_.ForgetIdle(now);
     nodes_.ForgetSilent(now);
     log_.ReportLeftOut(now);
+    PublishStatus(now);
     for (const AgentView& agent : forwarder_.agents().ForgetSilent(now)) {
       LogLine(kAgentForgotten)
           .Field("agent", ToHex(ToNumber(agent.identity.uid)))
@@ -248,6 +249,22 @@
     }
   }
 
+  void PublishStatus(absl::Time now) {
+    NodeStatus status;
+    status.role = Role::kEntry;
+    status.ready = ready_.load();
+    status.leaving = self_.leaving;
+    status.configuration = self_.configuration;
+    if (forwarder_.routes() != nullptr)
+      status.configuration_version = forwarder_.routes()->version;
+    status.nodes = nodes_.Present(now, kMaxReportedNodes);
+    forwarder_.agents().ForEach(
+        [&status](const AgentView& agent) { status.agents.push_back(agent); });
+    status.cached_flows = forwarder_.cached_flows();
+    status.time = now;
+    options_.board->Publish(std::move(status));
+  }
+
   void DiscardOld(absl::Duration gap) {
     size_t dropped = channel_.Discard();
     while (clients_.Receive().has_value())
--- a/lib/node/node_process.cc
+++ b/lib/node/node_process.cc
@@ -2,8 +2,11 @@
 
 #include <utility>
 
+#include "absl/strings/strip.h"
 #include "configuration_follower.h"
 #include "data_loop.h"
+#include "decision_history.h"
+#include "node_status.h"
 #include "skylarkshunt/http/http_server.h"
 #include "target_prober.h"
 
@@ -11,6 +14,8 @@
 namespace {
 
 constexpr int kNotFound = 404;
+/// A flow follows, or nothing for all of them.
+constexpr absl::string_view kDecisionsPath = "/decisions/";
 constexpr int kUnavailable = 503;
 
 class RunningNode : public NodeProcess {
@@ -30,6 +35,9 @@
     data.packets = options.adapter.packets;
     data.incarnation = options.incarnation;
     data.counters = options.counters;
+    data.history = &history_;
+    data.board = &board_;
+    name_ = options.node.name;
     data.notices.on_revision = [this](uint32_t address, Revision revision) {
       follower_->OnRevision(address, revision);
     };
@@ -97,11 +105,13 @@
       http.listeners.push_back(
           {options.node.target_reports, options.adapter.target_reports(hooks)});
     }
-    http.listeners.push_back(
-        {options.node.peers,
-         [this, counters = options.counters](const HttpRequest& request) {
-           return AnswerPeer(request, *counters);
-         }});
+    const HttpServer::Handler peers =
+        [this, counters = options.counters](const HttpRequest& request) {
+          return AnswerPeer(request, *counters);
+        };
+    http.listeners.push_back({options.node.peers, peers});
+    if (options.node.metrics.port != 0)
+      http.listeners.push_back({options.node.metrics, peers});
     BOOST_OUTCOME_TRY(server, HttpServer::Start(std::move(http)));
     http_ = std::move(server);
     return Success();
@@ -111,9 +121,15 @@
   HttpResponse AnswerPeer(const HttpRequest& request,
                           const CounterRegistry& counters) const {
     HttpResponse response;
+    absl::string_view flow = request.target;
     if (request.target == "/configuration") {
       response.body = follower_->Document();
       response.status = response.body.empty() ? kUnavailable : response.status;
+    } else if (request.target == "/node") {
+      response.body = board_.ToJson(name_);
+      response.status = response.body.empty() ? kUnavailable : response.status;
+    } else if (absl::ConsumePrefix(&flow, kDecisionsPath)) {
+      response.body = history_.ToJson(flow);
     } else if (request.target == "/metrics") {
       response.content_type = "text/plain; version=0.0.4";
       response.body = counters.ToText();
@@ -123,6 +139,9 @@
     return response;
   }
 
+  std::string name_;
+  DecisionHistory history_;
+  NodeStatusBoard board_;
   // The threads of later members use earlier ones, and end first.
   std::unique_ptr<DataLoop> loop_;
   std::unique_ptr<ConfigurationFollower> follower_;
--- /dev/null
+++ b/lib/node/node_status.cc
@@ -0,0 +1,77 @@
+#include "node_status.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "skylarkshunt/base/ids.h"
+
+namespace skylarkshunt {
+namespace {
+
+using nlohmann::json;
+
+const char* RoleName(Role role) {
+  return role == Role::kEntry ? "entry" : "agent";
+}
+
+json LoadJson(const AgentLoad& load) {
+  return {{"state", std::string(InstanceStateName(load.state))},
+          {"slots", load.slots},
+          {"busy", load.busy},
+          {"open_flows", load.open_flows},
+          {"service_time_us", load.service_time_us}};
+}
+
+json AgentJson(const AgentView& agent, absl::Time now) {
+  json value = LoadJson(agent.load);
+  value["uid"] = ToHex(ToNumber(agent.identity.uid));
+  value["service"] = ToHex(ToNumber(agent.identity.service));
+  value["address"] = agent.endpoint.ToString();
+  value["incarnation"] = ToNumber(agent.identity.incarnation);
+  value["configuration"] = ToNumber(agent.configuration);
+  value["heard_ms_ago"] = absl::ToInt64Milliseconds(now - agent.heard);
+  return value;
+}
+
+}  // namespace
+
+void NodeStatusBoard::Publish(NodeStatus status) {
+  auto shared = std::make_shared<const NodeStatus>(std::move(status));
+  absl::MutexLock lock(&mutex_);
+  status_ = std::move(shared);
+}
+
+std::string NodeStatusBoard::ToJson(const std::string& name) const {
+  std::shared_ptr<const NodeStatus> status;
+  {
+    absl::MutexLock lock(&mutex_);
+    status = status_;
+  }
+  if (status == nullptr)
+    return {};
+  json value = {{"name", name},
+                {"role", RoleName(status->role)},
+                {"ready", status->ready},
+                {"leaving", status->leaving},
+                {"time_ms", absl::ToUnixMillis(status->time)},
+                {"configuration",
+                 {{"revision", ToNumber(status->configuration)},
+                  {"version", status->configuration_version}}},
+                {"nodes", json::array()}};
+  for (const NodeAddress& node : status->nodes) {
+    value["nodes"].push_back({{"address", Endpoint{node.address, 0}.ToString()},
+                              {"role", RoleName(node.role)}});
+  }
+  if (status->role == Role::kEntry) {
+    value["cached_flows"] = status->cached_flows;
+    value["agents"] = json::array();
+    for (const AgentView& agent : status->agents)
+      value["agents"].push_back(AgentJson(agent, status->time));
+  } else {
+    value["load"] = LoadJson(status->load);
+    value["target"] = status->target_id;
+  }
+  return value.dump();
+}
+
+}  // namespace skylarkshunt
--- a/tools/skylarkshuntd/main.cc
+++ b/tools/skylarkshuntd/main.cc
@@ -25,7 +25,7 @@
     return kExitOk;
   }
   if (line.value().action == CommandLine::Action::kRunNode)
-    return RunNodeDaemon();
+    return RunNodeDaemon(line.value().metrics_port);
   if (line.value().action == CommandLine::Action::kCheckNode)
     return CheckNodeSettings();
   const Result<Settings> settings = LoadSettings(line.value().settings);
--- a/tools/skylarkshuntd/node_daemon.cc
+++ b/tools/skylarkshuntd/node_daemon.cc
@@ -79,7 +79,7 @@
 
 }  // namespace
 
-int RunNodeDaemon() {
+int RunNodeDaemon(uint16_t metrics_port) {
   FLAGS_logtostderr = false;
   FLAGS_logtostdout = true;
   BlockHandledSignals();
@@ -93,6 +93,8 @@
   CounterRegistry counters;
   NodeProcess::Options options;
   options.node = loaded.value();
+  if (metrics_port != 0)
+    options.node.metrics = {options.node.peers.address, metrics_port};
   options.adapter = MakePlatformAdapter();
   options.incarnation =
       Incarnation{static_cast<uint64_t>(absl::ToUnixMillis(absl::Now()))};
--- a/tools/skylarkshuntd/options.cc
+++ b/tools/skylarkshuntd/options.cc
@@ -29,11 +29,14 @@
     "\n"
     "Options";
 
-po::options_description Options(std::string& settings) {
+po::options_description Options(CommandLine& line) {
   po::options_description options(kUsage);
-  options.add_options()("settings", po::value(&settings)->value_name("FILE"),
+  options.add_options()("settings",
+                        po::value(&line.settings)->value_name("FILE"),
                         "settings file (JSON with comments)")(
       "node", "run with the settings that the platform provides")(
+      "metrics-port", po::value(&line.metrics_port)->value_name("PORT"),
+      "with --node: serve metrics on this port too")(
       "check", "check the settings and end")("version", "print the version")(
       "help", "print this text");
   return options;
@@ -43,7 +46,7 @@
 
 Result<CommandLine> ParseCommandLine(int argc, const char* const* argv) {
   CommandLine line;
-  const po::options_description options = Options(line.settings);
+  const po::options_description options = Options(line);
   po::variables_map values;
   try {
     const po::positional_options_description none;
--- a/tools/skylarkshuntd/options.h
+++ b/tools/skylarkshuntd/options.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKSHUNT_TOOLS_SKYLARKSHUNTD_OPTIONS_H_
 #define SKYLARKSHUNT_TOOLS_SKYLARKSHUNTD_OPTIONS_H_
 
+#include <cstdint>
 #include <string>
 
 #include "skylarkshunt/base/error.h"
@@ -25,6 +26,9 @@
   enum class Action { kRun, kRunNode, kCheck, kCheckNode, kVersion, kHelp };
   Action action = Action::kRun;
   std::string settings;
+  /// Port of the operators' end point of a node beside the one in its settings;
+  /// 0 for none.
+  uint16_t metrics_port = 0;
   /// Text for kHelp.
   std::string help;
 };
--- /dev/null
+++ b/unittests/base/log_writer_test.cc
@@ -0,0 +1,101 @@
+#include "skylarkshunt/base/log_writer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fcntl.h>
+#include <glog/logging.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+#include <thread>
+
+#include "absl/time/clock.h"
+#include "skylarkshunt/base/event.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr EventId kTestEvent{1099, "test_line"};
+
+/// Replaces standard output by a pipe that is read only on demand.
+class PipedOutput {
+ public:
+  PipedOutput() : saved_(dup(STDOUT_FILENO)) {
+    CPPUNIT_ASSERT(pipe(ends_.data()) == 0);
+    dup2(ends_[1], STDOUT_FILENO);
+    close(ends_[1]);
+    FLAGS_logtostderr = false;
+    FLAGS_logtostdout = true;
+  }
+  ~PipedOutput() {
+    Restore();
+    close(ends_[0]);
+    FLAGS_logtostdout = false;
+    FLAGS_logtostderr = true;
+  }
+
+  /// Reads until everybody has closed the pipe.
+  std::string ReadToEnd() {
+    std::string text;
+    std::array<char, 4096> buffer{};
+    ssize_t size = 0;
+    while ((size = read(ends_[0], buffer.data(), buffer.size())) > 0)
+      text.append(buffer.data(), static_cast<size_t>(size));
+    return text;
+  }
+  void Restore() {
+    if (saved_ < 0)
+      return;
+    fflush(stdout);
+    dup2(saved_, STDOUT_FILENO);
+    close(saved_);
+    saved_ = -1;
+  }
+
+ private:
+  int saved_;
+  std::array<int, 2> ends_{};
+};
+
+class LogWriterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LogWriterTest);
+  CPPUNIT_TEST(SlowReaderDelaysNobodyAndLossIsReported);
+  CPPUNIT_TEST(EndsSoonWithoutLines);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a data thread that waits for the reader of the log, and
+  // against lines that are left out silently.
+  void SlowReaderDelaysNobodyAndLossIsReported() {
+    PipedOutput output;
+    auto writer = LogWriter::Start();
+    const absl::Time start = absl::Now();
+    constexpr int kLines = 20'000;
+    for (int i = 0; i < kLines; ++i)
+      LogLine(kTestEvent).Field("text", std::string(200, 'x'));
+    // Far more than the pipe and the ring hold, and nobody has read yet.
+    CPPUNIT_ASSERT(absl::Now() - start < absl::Seconds(20));
+    std::string text;
+    std::thread reader([&] { text = output.ReadToEnd(); });
+    writer.reset();
+    output.Restore();
+    reader.join();
+    CPPUNIT_ASSERT(text.find("SKS1010 log_lines_left_out event=SKS1099") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(text.find("SKS1099 test_line text=xxx") !=
+                   std::string::npos);
+  }
+
+  // Guards against a node that is killed since its log writer still waits.
+  void EndsSoonWithoutLines() {
+    auto writer = LogWriter::Start();
+    const absl::Time start = absl::Now();
+    writer.reset();
+    CPPUNIT_ASSERT(absl::Now() - start < absl::Milliseconds(900));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogWriterTest);
+
+}  // namespace
+}  // namespace skylarkshunt
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -282,6 +282,7 @@
   CPPUNIT_TEST(SlowTargetIsPassedOver);
   CPPUNIT_TEST(UnreportedFlowsCount);
   CPPUNIT_TEST(SilentAndDrainingAgentsGetNothing);
+  CPPUNIT_TEST(RareReportsAreNotTakenForSilence);
   CPPUNIT_TEST(OlderIncarnationChangesNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -325,6 +326,26 @@
     CPPUNIT_ASSERT(!directory_.IsComplete(kService, kStart));
   }
 
+  // Pattern: a large fleet, whose agents report rarely. Guards against small
+  // entries that spend their processor on reports, and against taking rare
+  // reports for silence.
+  void RareReportsAreNotTakenForSilence() {
+    CPPUNIT_ASSERT(AgentReportInterval(1) == kAgentReportInterval);
+    CPPUNIT_ASSERT(AgentReportInterval(50) == absl::Milliseconds(400));
+    CPPUNIT_ASSERT(AgentReportInterval(5'000) == absl::Seconds(1));
+    AgentReport report;
+    report.agent = Identity(1);
+    report.sequence = 1;
+    report.load = Load(0);
+    report.interval_ms = 400;
+    directory_.UpdateFromReport(report, EndpointOf(1),
+                                kStart - absl::Seconds(1));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Place());
+    directory_.Update(Identity(2), Load(4), EndpointOf(2),
+                      kStart - absl::Milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Place());
+  }
+
   // Guards against a late message of an earlier run of an agent.
   void OlderIncarnationChangesNothing() {
     directory_.Update(Identity(1, kOwnCentre, 7), Load(0), EndpointOf(1),
--- a/unittests/forwarding/node_directory_test.cc
+++ b/unittests/forwarding/node_directory_test.cc
@@ -30,7 +30,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2},
                          Due(nodes, kStart + absl::Milliseconds(200)).size());
     CPPUNIT_ASSERT_EQUAL(size_t{2}, Due(nodes, kStart + absl::Hours(1)).size());
-    CPPUNIT_ASSERT(!nodes.HasPresentEntry(kStart));
+    CPPUNIT_ASSERT(nodes.CountPresentEntries(kStart) == 0);
   }
 
   void AgentReportsToEntriesOnly() {
@@ -74,7 +74,7 @@
     const std::vector<NodeAddress> present = nodes.Present(kStart, 4);
     CPPUNIT_ASSERT_EQUAL(size_t{4}, present.size());
     CPPUNIT_ASSERT_EQUAL(uint32_t{30}, present[0].address);
-    CPPUNIT_ASSERT(nodes.HasPresentEntry(kStart));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, nodes.CountPresentEntries(kStart));
   }
 
  private:
