--- a/include/skylarkshunt/forwarding/opening_queue.h
+++ b/include/skylarkshunt/forwarding/opening_queue.h
@@ -57,13 +57,9 @@
   /// Most opening packets that wait. At the slowest service times of the
   /// deployments a target serves fewer within the time that clients wait.
   static constexpr size_t kMaxWaiting = 256;
-  /// Every so many slots one goes to a late caller, so that those whom an
-  /// outage made late do not wait until they fail.
-  static constexpr uint64_t kLateTurn = 4;
 
  private:
   std::vector<WaitingOpening> waiting_;
-  uint64_t popped_ = 0;
 };
 
 }  // namespace skylarkshunt
--- a/lib/forwarding/opening_queue.cc
+++ b/lib/forwarding/opening_queue.cc
@@ -50,16 +50,9 @@
 
 absl::optional<WaitingOpening> OpeningQueue::Pop(absl::Time now,
                                                  absl::Duration answer_time) {
-  ++popped_;
-  const bool late_turn = popped_ % kLateTurn == 0;
   const auto first = std::min_element(
       waiting_.begin(), waiting_.end(),
-      [now, answer_time, late_turn](const WaitingOpening& a,
-                                    const WaitingOpening& b) {
-        const bool a_in_time = IsInTime(a, now, answer_time);
-        const bool b_in_time = IsInTime(b, now, answer_time);
-        if (late_turn && a_in_time != b_in_time)
-          return b_in_time;
+      [now, answer_time](const WaitingOpening& a, const WaitingOpening& b) {
         return ComesBefore(a, b, now, answer_time);
       });
   if (first == waiting_.end())
