--- a/include/skylarkshunt/http/http_client.h
+++ b/include/skylarkshunt/http/http_client.h
@@ -28,7 +28,7 @@
   absl::Duration timeout = absl::Seconds(2);
   /// Bounds connecting, within `timeout`.
   absl::Duration connect_timeout = absl::InfiniteDuration();
-  size_t max_answer_bytes = 1024 * 1024;
+  size_t max_answer_bytes = 1'048'576;
   /// Gets the socket before it connects, and may keep a duplicate of it to end
   /// the call early; may be empty.
   std::function<void(int socket)> on_socket;
--- a/include/skylarkshunt/http/http_server.h
+++ b/include/skylarkshunt/http/http_server.h
@@ -44,7 +44,7 @@
   struct Options {
     std::vector<Listener> listeners;
     /// Longest body of a request, in bytes; longer ones end the connection.
-    size_t max_body_bytes = 16 * 1024;
+    size_t max_body_bytes = 16'384;
     /// Time for one request and its response, and for an idle connection.
     absl::Duration timeout = absl::Seconds(5);
     size_t max_connections = 64;
--- /dev/null
+++ b/standins/packet_fleet/packet_fleet.h
@@ -0,0 +1,79 @@
+#ifndef SKYLARKSHUNT_STANDINS_PACKET_FLEET_PACKET_FLEET_H_
+#define SKYLARKSHUNT_STANDINS_PACKET_FLEET_PACKET_FLEET_H_
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/synchronization/notification.h"
+#include "standins/packet_fleet/flow_clients.h"
+#include "standins/packet_fleet/flow_target.h"
+#include "standins/platform/platform_server.h"
+#include "standins/process/child_process.h"
+
+namespace skylarkshunt {
+
+/// Nodes as real processes on 127.0.0.0/8, with stand-ins for the store, the
+/// routers, the targets and the clients. Not thread-safe.
+class PacketFleet {
+ public:
+  struct Options {
+    /// Second number of all addresses, so that fleets do not meet.
+    uint8_t network = 70;
+    int entries = 3;
+    /// Targets of each of the two services.
+    int targets = 3;
+    int requests_per_second = 120;
+    uint32_t seed = 1;
+    /// Folder of the programs, and where settings and logs go.
+    std::string programs;
+    std::string work;
+  };
+
+  /// A node's process. The index counts entries first, then agents.
+  struct Node {
+    std::string name;
+    std::string settings;
+    Endpoint readiness;
+    Endpoint data;
+    bool entry = false;
+    std::unique_ptr<ChildProcess> process;
+  };
+
+  /// Starts everything and returns once requests are answered. Errors: as the
+  /// parts, kUnavailable when nothing is answered within 20 s.
+  static Result<std::unique_ptr<PacketFleet>> Start(const Options& options);
+  ~PacketFleet();
+
+  /// Starts the process of a node that has ended. Errors: kNotFound, kSystem.
+  Result<void> StartNode(size_t index);
+  std::vector<Node>& nodes() { return nodes_; }
+  std::vector<std::unique_ptr<FlowTarget>>& targets() { return targets_; }
+  PlatformCore& store() { return store_->core(); }
+  FlowClients& clients() { return *clients_; }
+
+ private:
+  explicit PacketFleet(const Options& options) : options_(options) {}
+
+  Result<void> StartStore();
+  Result<void> AddNode(int number, int target);
+  Result<void> StartClients();
+  Result<void> AwaitAnswers();
+  void FollowReadiness();
+  Endpoint At(int host, uint16_t port) const;
+
+  const Options options_;
+  std::unique_ptr<PlatformServer> store_;
+  std::vector<Node> nodes_;
+  std::vector<std::unique_ptr<FlowTarget>> targets_;
+  std::unique_ptr<FlowClients> clients_;
+  absl::Notification stop_;
+  std::thread readiness_;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_STANDINS_PACKET_FLEET_PACKET_FLEET_H_
--- a/standins/process/child_process.cc
+++ b/standins/process/child_process.cc
@@ -25,14 +25,15 @@
 /// File actions and attributes of posix_spawn(), released at the end.
 class SpawnPlan {
  public:
-  SpawnPlan(int output, const std::string& log_file) {
+  SpawnPlan(int output, const ChildProcess::Options& options)
+      : environment_(options.environment) {
     posix_spawn_file_actions_init(&actions_);
-    posix_spawn_file_actions_adddup2(&actions_, output, STDOUT_FILENO);
-    if (!log_file.empty()) {
-      posix_spawn_file_actions_addopen(
-          &actions_, STDERR_FILENO, log_file.c_str(),
-          O_WRONLY | O_CREAT | O_APPEND, kLogFileMode);
-    }
+    if (options.output_file.empty())
+      posix_spawn_file_actions_adddup2(&actions_, output, STDOUT_FILENO);
+    else
+      Append(STDOUT_FILENO, options.output_file);
+    if (!options.log_file.empty())
+      Append(STDERR_FILENO, options.log_file);
     posix_spawnattr_init(&attributes_);
     sigset_t none;
     sigemptyset(&none);
@@ -53,11 +54,24 @@
     for (const std::string& argument : command)
       arguments.push_back(const_cast<char*>(argument.c_str()));
     arguments.push_back(nullptr);
+    std::vector<char*> variables;
+    for (char** variable = environ; *variable != nullptr; ++variable)
+      variables.push_back(*variable);
+    for (const std::string& variable : environment_)
+      variables.push_back(const_cast<char*>(variable.c_str()));
+    variables.push_back(nullptr);
     return posix_spawn(pid, arguments[0], &actions_, &attributes_,
-                       arguments.data(), environ);
+                       arguments.data(), variables.data());
   }
 
  private:
+  void Append(int fd, const std::string& file) {
+    posix_spawn_file_actions_addopen(&actions_, fd, file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND,
+                                     kLogFileMode);
+  }
+
+  const std::vector<std::string>& environment_;
   posix_spawn_file_actions_t actions_ = {};
   posix_spawnattr_t attributes_ = {};
 };
@@ -78,7 +92,7 @@
   }
   pid_t pid = 0;
   const int failure =
-      SpawnPlan(pipe_ends[1], options.log_file).Spawn(options.command, &pid);
+      SpawnPlan(pipe_ends[1], options).Spawn(options.command, &pid);
   close(pipe_ends[1]);
   if (failure != 0) {
     close(pipe_ends[0]);
--- a/standins/process/child_process.h
+++ b/standins/process/child_process.h
@@ -21,7 +21,11 @@
     /// Path of the program and its arguments.
     std::vector<std::string> command;
     /// File for its standard error, appended to; empty: that of the parent.
-    std::string log_file;
+    std::string log_file = {};
+    /// File for its standard output, appended to; empty: a pipe to the parent.
+    std::string output_file = {};
+    /// "NAME=VALUE", added to the environment of the parent.
+    std::vector<std::string> environment = {};
   };
 
   /// Starts the program with its standard output in a pipe and no blocked
