--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -22,9 +22,11 @@
 /// Time between two sweeps over all flows.
 constexpr absl::Duration kSweepInterval = absl::Milliseconds(250);
 /// Time that a client has to send its request once the target has granted the
-/// flow. After it the slot goes to another client, since many clients of a
-/// queue have given up; several passages between client and target.
-constexpr absl::Duration kRequestTimeout = absl::Milliseconds(50);
+/// flow, as a multiple of the usual time, and its bounds. After it the slot
+/// goes to another client, since many clients of a queue have given up.
+constexpr double kRequestTimeoutFactor = 2.5;
+constexpr absl::Duration kLeastRequestTimeout = absl::Milliseconds(15);
+constexpr absl::Duration kMostRequestTimeout = absl::Milliseconds(50);
 /// An ended flow is kept for the last packets of both ends.
 constexpr absl::Duration kEndedLifetime = absl::Seconds(5);
 /// A flow without packets is forgotten after the longest idle time plus margin;
@@ -337,7 +339,10 @@
   if (header.opening) {
     flow.target_sequence = header.sequence;
     flow.target_sequence_known = true;
-    granted_.emplace_back(now + kRequestTimeout, id);
+    const absl::Duration patience = std::min(
+        std::max(kRequestTimeoutFactor * handshake_time_, kLeastRequestTimeout),
+        kMostRequestTimeout);
+    granted_.emplace_back(now + patience, id);
     unanswered_.erase(
         std::remove_if(unanswered_.begin(), unanswered_.end(),
                        [&id](const Unanswered& u) { return u.flow == id; }),
