Ask a silent store again soon while there is no configuration

Each new entry waited 1.5 s for its first call, until well after the store had returned; twice as many callers as the targets could serve then waited for six seconds.

--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -33,6 +33,10 @@
 constexpr absl::Duration kWatchWait = absl::Seconds(10);
 /// Time-out of a call beyond the wait of a watch.
 constexpr absl::Duration kStoreTimeout = absl::Milliseconds(1500);
+/// Time-out of a call while there is no configuration. A store that is silent
+/// must be asked again soon after its return; one that is slow answers within
+/// 250 ms.
+constexpr absl::Duration kFirstTimeout = absl::Milliseconds(400);
 /// Least time between two watches: changes in quick succession are taken
 /// together. A tenth of the tightest bound on a change.
 constexpr absl::Duration kWatchGap = absl::Milliseconds(300);
@@ -57,9 +61,12 @@
 
 class StoreFollower : public ConfigurationFollower {
  public:
-  StoreFollower(const Options& options, std::unique_ptr<PlatformClient> store)
+  StoreFollower(const Options& options,
+                std::unique_ptr<PlatformClient> store,
+                std::unique_ptr<PlatformClient> first)
       : options_(options),
         store_(std::move(store)),
+        first_(std::move(first)),
         calls_(options.counters->Find("skylarkshunt_store_calls_total",
                                       "Calls to the object store.")),
         failures_(options.counters->Find("skylarkshunt_store_failures_total",
@@ -223,7 +230,8 @@
   bool ListConfiguration(Revision& position) {
     const std::string prefix =
         options_.key.substr(0, options_.key.find('/') + 1);
-    const Result<ObjectList> list = store_->List(prefix);
+    PlatformClient& store = routes() == nullptr ? *first_ : *store_;
+    const Result<ObjectList> list = store.List(prefix);
     if (!Note(list, "list_configuration"))
       return false;
     for (const ConfigRecord& record : list.value().objects)
@@ -366,6 +374,8 @@
 
   const Options options_;
   const std::unique_ptr<PlatformClient> store_;
+  /// For the first configuration.
+  const std::unique_ptr<PlatformClient> first_;
   Counter& calls_;
   Counter& failures_;
   Counter& revision_gauge_;
@@ -391,8 +401,10 @@
   client.platform = options.node.store;
   client.timeout = kStoreTimeout;
   BOOST_OUTCOME_TRY(store, PlatformClient::Create(client));
-  return std::unique_ptr<ConfigurationFollower>(
-      std::make_unique<StoreFollower>(options, std::move(store)));
+  client.timeout = kFirstTimeout;
+  BOOST_OUTCOME_TRY(first, PlatformClient::Create(client));
+  return std::unique_ptr<ConfigurationFollower>(std::make_unique<StoreFollower>(
+      options, std::move(store), std::move(first)));
 }
 
 }  // namespace skylarkshunt
