--- /dev/null
+++ b/unittests/node/configuration_follower_test.cc
@@ -0,0 +1,195 @@
+#include "configuration_follower.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
+#include "platform/configuration_document.h"
+#include "skylarkshunt/http/http_server.h"
+#include "standins/platform/platform_server.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr char kKey[] = "config/main";
+constexpr absl::Duration kLongWait = absl::Seconds(30);
+
+std::string Document(int version) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[],"services":[],"limits":{}})";
+}
+
+/// Collects what the follower passes to the data thread.
+class Received {
+ public:
+  bool Take(const DataCommand& command) {
+    absl::MutexLock lock(&mutex_);
+    const auto* configuration = std::get_if<ConfigurationInForce>(&command);
+    if (configuration != nullptr)
+      versions_.push_back(configuration->routes->version);
+    return true;
+  }
+
+  /// Waits for a version and returns whether it came.
+  bool Await(uint64_t version) {
+    absl::MutexLock lock(&mutex_);
+    wanted_ = version;
+    return mutex_.AwaitWithTimeout(absl::Condition(
+                                       +[](Received* self) {
+                                         return !self->versions_.empty() &&
+                                                self->versions_.back() ==
+                                                    self->wanted_;
+                                       },
+                                       this),
+                                   kLongWait);
+  }
+
+  std::vector<uint64_t> versions() const {
+    absl::MutexLock lock(&mutex_);
+    return versions_;
+  }
+
+ private:
+  mutable absl::Mutex mutex_;
+  std::vector<uint64_t> versions_;
+  uint64_t wanted_ = 0;
+};
+
+class ConfigurationFollowerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConfigurationFollowerTest);
+  CPPUNIT_TEST(ChangesAreFollowedInOrder);
+  CPPUNIT_TEST(SilentStoreIsAskedAgainSoon);
+  CPPUNIT_TEST(NodeThatTheStoreTurnsAwayFollowsAnother);
+  CPPUNIT_TEST(ForgottenHistoryIsListedAgain);
+  CPPUNIT_TEST(BrokenConfigurationLeavesTheOldOneInForce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    PlatformServer::Options options;
+    options.listen = Endpoint::Parse("127.0.0.1:0").value();
+    store_ = std::move(PlatformServer::Start(options).value());
+    Write(1);
+  }
+
+  void tearDown() override {
+    // Ends the watch that the follower would wait for.
+    store_->core().Stop();
+    follower_.reset();
+    store_.reset();
+  }
+
+  void ChangesAreFollowedInOrder() {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    Write(4);
+    CPPUNIT_ASSERT(received_.Await(4));
+    Write(9);
+    CPPUNIT_ASSERT(received_.Await(9));
+    CPPUNIT_ASSERT(follower_->routes()->version == 9);
+    const std::vector<uint64_t> versions = received_.versions();
+    CPPUNIT_ASSERT(std::is_sorted(versions.begin(), versions.end()));
+  }
+
+  // Guards against an entry that waits for a store that fell silent until well
+  // after its return. The store's usual time-out is 1.5 s.
+  void SilentStoreIsAskedAgainSoon() {
+    store_->core().SetFault({FaultMode::kSlow, kLongWait, 1});
+    const absl::Time start = absl::Now();
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    CPPUNIT_ASSERT(absl::Now() - start < absl::Milliseconds(1500));
+  }
+
+  void NodeThatTheStoreTurnsAwayFollowsAnother() {
+    store_->core().SetFault({FaultMode::kDown});
+    HttpServer::Options http;
+    http.listeners.push_back(
+        {Endpoint::Parse("127.0.0.2:0").value(), [](const HttpRequest&) {
+           HttpResponse response;
+           response.body =
+               R"({"revision":77,"body":"{\"version\":6,\"routes\":[]}"})";
+           return response;
+         }});
+    const auto other = std::move(HttpServer::Start(std::move(http)).value());
+    const Endpoint address = other->local().front();
+    peer_port_ = address.port;
+    Follow();
+    follower_->OnRevision(address.address, Revision{77});
+    CPPUNIT_ASSERT(received_.Await(6));
+    // What it holds is handed on in turn.
+    CPPUNIT_ASSERT(follower_->Document().find("\"revision\":77") !=
+                   std::string::npos);
+    // The store's older configuration is not taken when it is back.
+    store_->core().SetFault(Fault{});
+    for (int i = 0; i < 100; ++i)
+      store_->core().Write("other/x" + std::to_string(i), "{}", 0);
+    Write(8);
+    CPPUNIT_ASSERT(received_.Await(8));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, received_.versions().size());
+  }
+
+  void ForgottenHistoryIsListedAgain() {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    store_->core().SetFault(
+        {FaultMode::kExpireWatches, absl::ZeroDuration(), 1});
+    Write(2);
+    CPPUNIT_ASSERT(received_.Await(2));
+  }
+
+  void BrokenConfigurationLeavesTheOldOneInForce() {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    store_->core().Write(kKey, "{\"version\":\"x\"}", revision_);
+    revision_ += 1;
+    Write(3);
+    CPPUNIT_ASSERT(received_.Await(3));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, received_.versions().size());
+  }
+
+ private:
+  void Follow() {
+    ConfigurationFollower::Options options;
+    options.node.role = Role::kEntry;
+    options.node.name = "edge-1";
+    options.node.store = store_->address();
+    options.node.peers = {0x7f000001, peer_port_};
+    options.key = kKey;
+    options.read = ParseConfiguration;
+    options.counters = &counters_;
+    options.command = [this](const DataCommand& command) {
+      return received_.Take(command);
+    };
+    options.is_connected = [] { return true; };
+    follower_ = std::move(ConfigurationFollower::Create(options).value());
+    follower_->Start();
+  }
+
+  /// Writes a version over the one before it.
+  void Write(int version) {
+    revision_ = std::stoull(
+        Rev(store_->core().Write(kKey, Document(version), revision_).body));
+  }
+
+  static std::string Rev(const std::string& object) {
+    const size_t at = object.find("\"rev\":") + 6;
+    return object.substr(at, object.find_first_not_of("0123456789", at) - at);
+  }
+
+  CounterRegistry counters_;
+  Received received_;
+  uint64_t revision_ = 0;
+  uint16_t peer_port_ = 1;
+  std::unique_ptr<PlatformServer> store_;
+  std::unique_ptr<ConfigurationFollower> follower_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationFollowerTest);
+
+}  // namespace
+}  // namespace skylarkshunt
