Remove parameters and a kind of decision that nothing uses

Reading the change as a newcomer: functions passed times and routes on that no decision took into account, TargetState had two names for one thing, and flow_unanswered was never logged. Behaviour stays as it is: tests of forwarding, base and node pass.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -89,7 +89,7 @@
   /// A health check succeeded; it stands for the first report after a start.
   void OnTargetHealthy(uint32_t slots);
   /// A connection to the target was refused: it runs no more.
-  void OnTargetCrashed(absl::Time now, AgentActions& actions);
+  void OnTargetCrashed(AgentActions& actions);
   /// Handles what is overdue. Call it at next_deadline() or before.
   void Tick(absl::Time now, AgentActions& actions);
   /// When Tick() has something to do.
@@ -159,7 +159,6 @@
   void ServeQueue(absl::Time now, AgentActions& actions);
   void RefuseWaiting(const WaitingOpening& opening,
                      absl::string_view reason,
-                     absl::Time now,
                      AgentActions& actions);
   /// Time from a slot to the first byte at the caller.
   absl::Duration AnswerTime(absl::Time now) const;
@@ -196,8 +195,7 @@
   void CutFlows(absl::string_view reason, AgentActions& actions);
   Decision MakeDecision(DecisionKind kind,
                         const FlowId& flow,
-                        absl::string_view reason,
-                        absl::Time now) const;
+                        absl::string_view reason) const;
 
   const Options options_;
   TargetState target_;
--- a/include/skylarkshunt/forwarding/decision.h
+++ b/include/skylarkshunt/forwarding/decision.h
@@ -23,9 +23,8 @@
   kAccepted = 7,     ///< Agent: an opening packet went to the target.
   kGivenBack = 8,    ///< Agent: a packet went back to its entry.
   kAnswered = 9,     ///< Agent: the first byte of an answer came.
-  kUnanswered = 10,  ///< Agent: a flow ended with a request unanswered.
 };
-inline constexpr size_t kDecisionKinds = 11;
+inline constexpr size_t kDecisionKinds = 10;
 
 /// One decision with the inputs that led to it. `reason` has static storage.
 struct Decision {
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -87,14 +87,12 @@
             absl::Span<const uint8_t> packet,
             absl::Time now,
             EntryActions& actions);
-  void Place(const Route& route,
-             const FlowId& flow,
+  void Place(const FlowId& flow,
              ForwardedPacket message,
              DecisionKind kind,
              absl::Time now,
              EntryActions& actions);
-  void PlaceAnywhere(const Route& route,
-                     const FlowId& flow,
+  void PlaceAnywhere(const FlowId& flow,
                      ForwardedPacket message,
                      absl::Time now,
                      EntryActions& actions);
@@ -104,7 +102,6 @@
               EntryActions& actions);
   void SearchFlow(const Route& route,
                   const FlowId& flow,
-                  const PacketHeader& header,
                   absl::Span<const uint8_t> packet,
                   absl::Time now,
                   EntryActions& actions);
--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -34,15 +34,13 @@
   /// A health check of the target succeeded before any report came.
   void OnHealthy(uint32_t slots);
   /// The target did not answer an opening packet in time.
-  void OnSilent(absl::Time now);
+  void OnSilent();
   /// The target returned an opening packet. Returns whether it now counts as
   /// silent: where a target has crashed, its address returns every packet at
   /// once, and would look like the least loaded of all.
   bool OnRefused();
   /// The target answered a packet or a health check.
   void OnAlive();
-  /// The target's address refuses connections: it has crashed.
-  void OnCrashed();
 
   /// kServing, kEjected (silent), kDraining or kDown (none known, or ended).
   InstanceState state(absl::Time now) const;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -137,7 +137,7 @@
   const absl::optional<WaitingOpening> dropped =
       queue_.Push(std::move(opening), now);
   if (dropped.has_value())
-    RefuseWaiting(*dropped, "queue_full", now, actions);
+    RefuseWaiting(*dropped, "queue_full", actions);
   ServeQueue(now, actions);
   actions.to_entries.push_back(
       {entry, FlowPlaced{options_.identity, load(now), delivery.flow}});
@@ -181,7 +181,7 @@
   ++open_;
   SetBusy(flow, true);
   Decision decision =
-      MakeDecision(DecisionKind::kAccepted, opening.flow, "slot", now);
+      MakeDecision(DecisionKind::kAccepted, opening.flow, "slot");
   decision.time = opening.gives_up - now;
   decision.hops = static_cast<uint32_t>(opening.declined.size());
   actions.decisions.push_back(decision);
@@ -200,12 +200,11 @@
 
 void AgentForwarder::RefuseWaiting(const WaitingOpening& opening,
                                    absl::string_view reason,
-                                   absl::Time now,
                                    AgentActions& actions) {
   // The target never saw the packet, so that nothing has run.
   actions.resets.push_back({opening.flow, 0});
   actions.decisions.push_back(
-      MakeDecision(DecisionKind::kRefused, opening.flow, reason, now));
+      MakeDecision(DecisionKind::kRefused, opening.flow, reason));
 }
 
 absl::Duration AgentForwarder::AnswerTime(absl::Time now) const {
@@ -354,8 +353,7 @@
   if (answers && flow.busy) {
     const absl::Duration elapsed = now - flow.requested;
     service_time_.Record(elapsed, flow.busy_before, target_.slots(), now);
-    Decision decision =
-        MakeDecision(DecisionKind::kAnswered, id, "first_byte", now);
+    Decision decision = MakeDecision(DecisionKind::kAnswered, id, "first_byte");
     decision.request_kind = flow.kind;
     decision.time = elapsed;
     actions.decisions.push_back(decision);
@@ -398,7 +396,7 @@
     if (!header.reset) {
       actions.resets.push_back({id, header.acknowledged});
       actions.decisions.push_back(
-          MakeDecision(DecisionKind::kCut, id, "target_lost_flow", now));
+          MakeDecision(DecisionKind::kCut, id, "target_lost_flow"));
     }
     EraseFlow(id);
     return;
@@ -426,7 +424,7 @@
   if (delivery.mode == ForwardMode::kSearch)
     return;
   Decision decision = MakeDecision(DecisionKind::kGivenBack, delivery.flow,
-                                   ReturnReasonName(reason), now);
+                                   ReturnReasonName(reason));
   decision.hops = static_cast<uint32_t>(delivery.declined.size());
   actions.decisions.push_back(decision);
 }
@@ -463,8 +461,8 @@
   target_.OnAlive();
 }
 
-void AgentForwarder::OnTargetCrashed(absl::Time now, AgentActions& actions) {
-  target_.OnSilent(now);
+void AgentForwarder::OnTargetCrashed(AgentActions& actions) {
+  target_.OnSilent();
   CutFlows("target_crashed", actions);
 }
 
@@ -498,7 +496,7 @@
     const auto known = flows_.find(unanswered.flow);
     if (known == flows_.end() || known->second.phase != Phase::kOpening)
       continue;
-    target_.OnSilent(now);
+    target_.OnSilent();
     actions.probe_target = true;
     EraseFlow(unanswered.flow);
     const Delivery& delivery =
@@ -516,7 +514,7 @@
   }
   for (const WaitingOpening& opening :
        queue_.TakeGivenUp(now + kGiveUpMargin)) {
-    RefuseWaiting(opening, "no_slot_in_time", now, actions);
+    RefuseWaiting(opening, "no_slot_in_time", actions);
   }
   ServeQueue(now, actions);
   if (now < next_sweep_)
@@ -599,9 +597,7 @@
 
 Decision AgentForwarder::MakeDecision(DecisionKind kind,
                                       const FlowId& flow,
-                                      absl::string_view reason,
-                                      absl::Time now) const {
-  static_cast<void>(now);
+                                      absl::string_view reason) const {
   Decision decision;
   decision.kind = kind;
   decision.flow = flow;
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -89,7 +89,7 @@
   AgentView* agent =
       cached == flows_.end() ? nullptr : agents_.Find(cached->second.agent);
   if (agent == nullptr) {
-    SearchFlow(*route, flow, header, packet, now, actions);
+    SearchFlow(*route, flow, packet, now, actions);
     return;
   }
   cached->second.used = now;
@@ -132,11 +132,10 @@
         MakeDecision(DecisionKind::kHeldBack, flow, "no_agent_yet"));
     return;
   }
-  Place(route, flow, std::move(message), DecisionKind::kPlaced, now, actions);
+  Place(flow, std::move(message), DecisionKind::kPlaced, now, actions);
 }
 
-void EntryForwarder::Place(const Route& route,
-                           const FlowId& flow,
+void EntryForwarder::Place(const FlowId& flow,
                            ForwardedPacket message,
                            DecisionKind kind,
                            absl::Time now,
@@ -148,7 +147,7 @@
   request.declined = message.declined;
   const absl::optional<Placement> placement = PlaceFlow(agents_, request, now);
   if (!placement.has_value()) {
-    PlaceAnywhere(route, flow, std::move(message), now, actions);
+    PlaceAnywhere(flow, std::move(message), now, actions);
     return;
   }
   AgentView& agent = *placement->agent;
@@ -171,8 +170,7 @@
 
 /// All agents that accept flows have passed the packet over: the one with the
 /// least load takes it.
-void EntryForwarder::PlaceAnywhere(const Route& route,
-                                   const FlowId& flow,
+void EntryForwarder::PlaceAnywhere(const FlowId& flow,
                                    ForwardedPacket message,
                                    absl::Time now,
                                    EntryActions& actions) {
@@ -198,16 +196,13 @@
   MarkForced(message);
   Remember(flow, placement->agent->identity.uid, now);
   actions.to_agents.push_back({placement->agent->endpoint, std::move(message)});
-  static_cast<void>(route);
 }
 
 void EntryForwarder::SearchFlow(const Route& route,
                                 const FlowId& flow,
-                                const PacketHeader& header,
                                 absl::Span<const uint8_t> packet,
                                 absl::Time now,
                                 EntryActions& actions) {
-  static_cast<void>(header);
   if (searches_.size() < kMaxSearches) {
     const bool started = searches_.try_emplace(flow, Search{now, {}}).second;
     if (started)
@@ -248,7 +243,7 @@
     const auto cached = flows_.find(flow);
     if (cached != flows_.end() && cached->second.agent == returned.agent.uid)
       flows_.erase(cached);
-    SearchFlow(*route, flow, header, returned.packet, now, actions);
+    SearchFlow(*route, flow, returned.packet, now, actions);
     return;
   }
   if (IsForced(returned)) {
@@ -263,8 +258,7 @@
   message.declined = returned.declined;
   message.declined.push_back(returned.agent.uid);
   message.packet = returned.packet;
-  Place(*route, flow, std::move(message), DecisionKind::kPlacedAgain, now,
-        actions);
+  Place(flow, std::move(message), DecisionKind::kPlacedAgain, now, actions);
 }
 
 void EntryForwarder::NoteNotHeld(const ReturnedPacket& returned,
--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -68,8 +68,7 @@
   slots_ = slots;
 }
 
-void TargetState::OnSilent(absl::Time now) {
-  static_cast<void>(now);
+void TargetState::OnSilent() {
   silent_ = true;
 }
 
@@ -85,10 +84,6 @@
   refusals_ = 0;
 }
 
-void TargetState::OnCrashed() {
-  silent_ = true;
-}
-
 InstanceState TargetState::state(absl::Time now) const {
   if (!known_ || left_)
     return InstanceState::kDown;
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -115,7 +115,7 @@
                             : probe == TargetProbe::kRefused ? "refused"
                                                              : "unclear");
       if (probe == TargetProbe::kRefused)
-        loop.forwarder_.OnTargetCrashed(now, loop.actions_);
+        loop.forwarder_.OnTargetCrashed(loop.actions_);
       if (probe == TargetProbe::kHealthy) {
         loop.forwarder_.OnTargetHealthy(kAssumedSlots);
         loop.nodes_.MakeAllDue();
--- a/lib/node/decision_log.cc
+++ b/lib/node/decision_log.cc
@@ -17,7 +17,6 @@
 constexpr EventId kFlowAccepted{3151, "flow_accepted_at_target"};
 constexpr EventId kPacketGivenBack{3152, "packet_given_back"};
 constexpr EventId kFlowAnswered{3153, "flow_answered"};
-constexpr EventId kFlowUnanswered{3154, "flow_unanswered"};
 constexpr EventId kDecisionsLeftOut{2108, "decisions_left_out"};
 
 struct KindInfo {
@@ -39,7 +38,6 @@
     {kFlowAccepted, 150},
     {kPacketGivenBack, 50},
     {kFlowAnswered, 150},
-    {kFlowUnanswered, 50},
 }};
 
 constexpr char kFirstByteHelp[] =
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -307,7 +307,7 @@
     Start();
     const FlowPackets flow;
     OpenUntilRequest(flow);
-    agent_.OnTargetCrashed(now_, actions_);
+    agent_.OnTargetCrashed(actions_);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
     CPPUNIT_ASSERT(!agent_.load(now_).accepts_flows());
   }
--- a/unittests/forwarding/target_state_test.cc
+++ b/unittests/forwarding/target_state_test.cc
@@ -63,7 +63,7 @@
     CPPUNIT_ASSERT(target_.OnReport(Report("i-1", 1000, 2), later) ==
                    TargetNews::kState);
     CPPUNIT_ASSERT(target_.state(later) == InstanceState::kServing);
-    target_.OnSilent(later);
+    target_.OnSilent();
     CPPUNIT_ASSERT(target_.state(later) == InstanceState::kEjected);
     target_.OnAlive();
     CPPUNIT_ASSERT(target_.state(later) == InstanceState::kServing);
