Cut a flow only where its target has held it

Cause, found by reading: a client's packet may reach an agent whose target was asked too but whose grant the client did not take, before that grant passed the agent. The target returns the packet, and the agent took the flow for lost and reset it, while it is open at another target. Change: a flow counts as held by a target once the target has sent more than its grant; other returned packets go back to the entry, which asks all agents. Seen red: FlowGrantedHereAndOpenElsewhereIsNotCut.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -117,6 +117,8 @@
     bool client_ended = false;
     bool target_ended = false;
     bool target_sequence_known = false;
+    /// The target has sent more than its grant, so that the flow is open there.
+    bool confirmed = false;
     uint32_t target_sequence = 0;
     /// Next byte of the client that starts a new request.
     uint32_t client_next = 0;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -11,8 +11,7 @@
 /// Deliveries whose return can be told apart; a target returns a packet within
 /// a millisecond, long before so many others follow.
 constexpr size_t kMaxDeliveries = 4'096;
-/// Most flows that an agent keeps. Beyond it, flows run on without a record and
-/// are found by asking the target.
+/// Most flows that an agent keeps. At the limit it gives opening packets back.
 constexpr size_t kMaxFlows = 32'768;
 /// Most flows remembered as not held.
 constexpr size_t kMaxNotHeld = 8'192;
@@ -29,8 +28,8 @@
 constexpr absl::Duration kMostRequestTimeout = absl::Milliseconds(50);
 /// An ended flow is kept for the last packets of both ends.
 constexpr absl::Duration kEndedLifetime = absl::Seconds(5);
-/// A flow without packets is forgotten after the longest idle time plus margin;
-/// asking the target finds it again.
+/// A flow without packets is forgotten after this: the deployments let flows
+/// end after 60 s in all, and sooner when they are idle.
 constexpr absl::Duration kIdleLifetime = absl::Seconds(70);
 /// How long a target's answer "not held" is believed.
 constexpr absl::Duration kNotHeldLifetime = absl::Seconds(10);
@@ -321,6 +320,7 @@
     // The flow was opened before this agent started.
     Flow& flow = flows_[id];
     flow.phase = Phase::kOpen;
+    flow.confirmed = true;
     flow.used = now;
     ++open_;
     not_held_.erase(id);
@@ -348,6 +348,7 @@
         unanswered_.end());
     return;
   }
+  flow.confirmed = true;
   // The packets of an answer come in any order, and its end often comes first.
   const bool answers = header.payload_bytes > 0 || header.ending;
   if (answers && flow.busy) {
@@ -388,11 +389,13 @@
     ServeQueue(now, actions);
     return;
   }
-  const bool lost =
-      known != flows_.end() && known->second.phase == Phase::kOpen;
+  const bool lost = known != flows_.end() &&
+                    known->second.phase == Phase::kOpen &&
+                    known->second.confirmed;
   if (lost) {
-    // The target answered packets of this flow before and forgot it: it started
-    // again, and no other target can hold the flow.
+    // The flow was open here and the target forgot it: it started again, and no
+    // other target can hold the flow. A flow that was only granted here may be
+    // open at another target, whose grant the client took.
     if (!header.reset) {
       actions.resets.push_back({id, header.acknowledged});
       actions.decisions.push_back(
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -57,6 +57,8 @@
   CPPUNIT_TEST(UnknownFlowIsAskedForOnceAfterARestart);
   CPPUNIT_TEST(UnknownFlowIsNotHeldByATargetSeenFromItsStart);
   CPPUNIT_TEST(GrantOfAnotherTargetIsNotHeld);
+  CPPUNIT_TEST(FlowGrantedHereAndOpenElsewhereIsNotCut);
+  CPPUNIT_TEST(FlowThatTheTargetForgotIsCut);
   CPPUNIT_TEST(FlowsOfAnEarlierIncarnationAreCut);
   CPPUNIT_TEST(CrashCutsFlowsAtOnce);
   CPPUNIT_TEST(ShutdownWaitsForRunningRequests);
@@ -291,6 +293,40 @@
     CPPUNIT_ASSERT_EQUAL(uint16_t{0}, agent_.load(now_).busy);
   }
 
+  // Guards against a reset of a flow that is open at another target: its
+  // opening packet went to two, and the packet of the client comes before the
+  // grant of this one.
+  void FlowGrantedHereAndOpenElsewhereIsNotCut() {
+    Start();
+    const FlowPackets flow;
+    Open(flow);
+    actions_.Clear();
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                       flow.Request(0x80000000), kEntry, now_, actions_);
+    const uint32_t token = actions_.to_target.at(0).return_token;
+    actions_.Clear();
+    agent_.OnTargetPacket(
+        FlowPackets::Returned(flow.Request(0x80000000), token), kPacketBytes,
+        now_, actions_);
+    CPPUNIT_ASSERT(actions_.resets.empty());
+    CPPUNIT_ASSERT(GivenBack().reason == ReturnReason::kNotHeld);
+  }
+
+  void FlowThatTheTargetForgotIsCut() {
+    Start();
+    const FlowPackets flow;
+    OpenUntilRequest(flow);
+    agent_.OnTargetPacket(flow.Answer(false), kPacketBytes, now_, actions_);
+    actions_.Clear();
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished), flow.Request(),
+                       kEntry, now_, actions_);
+    const uint32_t token = actions_.to_target.at(0).return_token;
+    agent_.OnTargetPacket(FlowPackets::Returned(flow.Request(), token),
+                          kPacketBytes, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{9001}, actions_.resets[0].sequence);
+  }
+
   // Guards against callers that wait for a target that forgot them.
   void FlowsOfAnEarlierIncarnationAreCut() {
     Start();
