Log lines carry the time of their event, and the end waits for no reader

Cause: the writer thread stamped lines with the time of writing, up to 100 ms after the decision, so that lines of two nodes could not be put in order. At its end a node destroyed the writer while other threads might still log, and a reader that had stopped kept the process until it was killed. Change: a line is stamped when it is logged. Finish() writes what is left within a limit and keeps the writer alive until the process ends.

--- a/lib/base/log_writer.cc
+++ b/lib/base/log_writer.cc
@@ -1,5 +1,7 @@
 #include "skylarkshunt/base/log_writer.h"
 
+#include <glog/logging.h>
+
 #include <atomic>
 #include <cassert>
 #include <map>
@@ -9,6 +11,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "log_queue.h"
 #include "skylarkshunt/base/bounded_ring.h"
@@ -30,16 +33,42 @@
 
 struct QueuedLine {
   Severity severity = Severity::kInfo;
+  absl::Time time;
   std::string text;
 };
 
+absl::string_view SeverityName(Severity severity) {
+  switch (severity) {
+    case Severity::kInfo:
+      return "info";
+    case Severity::kWarning:
+      return "warning";
+    case Severity::kError:
+      return "error";
+  }
+  return "unknown";
+}
+
+void WriteTimed(Severity severity, absl::Time time, absl::string_view text) {
+  WriteLogLine(severity,
+               absl::StrCat(absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", time,
+                                             absl::UTCTimeZone()),
+                            " ", SeverityName(severity), " ", text));
+}
+
 class RingLogWriter : public LogWriter {
  public:
   RingLogWriter();
   ~RingLogWriter() override;
 
+  bool Finish(absl::Duration limit) override {
+    stop_.store(true);
+    lines_.PushReplacingOldest({});
+    return finished_.WaitForNotificationWithTimeout(limit);
+  }
+
   void Queue(EventId id, Severity severity, std::string& text) {
-    if (lines_.TryPush({severity, std::move(text)}))
+    if (lines_.TryPush({severity, absl::Now(), std::move(text)}))
       return;
     absl::MutexLock lock(&mutex_);
     ++left_out_[id.number];
@@ -51,16 +80,19 @@
       absl::optional<QueuedLine> first = lines_.Pop(kStopCheckInterval);
       if (!first.has_value())
         continue;
-      absl::SleepFor(kCollectTime);
+      if (!stop_.load())
+        absl::SleepFor(kCollectTime);
       Write(*first);
       WriteAll();
     }
+    WriteAll();
+    finished_.Notify();
   }
 
   /// An empty line only wakes the thread.
   static void Write(const QueuedLine& line) {
     if (!line.text.empty())
-      WriteLogLine(line.severity, line.text);
+      WriteTimed(line.severity, line.time, line.text);
   }
 
   void WriteAll() {
@@ -72,10 +104,10 @@
       left_out.swap(left_out_);
     }
     for (const auto& [event, count] : left_out) {
-      WriteLogLine(Severity::kWarning,
-                   absl::StrCat("SKS", kLinesLeftOut.number, " ",
-                                kLinesLeftOut.name, " event=SKS", event,
-                                " count=", count, " reason=slow_reader"));
+      WriteTimed(Severity::kWarning, absl::Now(),
+                 absl::StrCat("SKS", kLinesLeftOut.number, " ",
+                              kLinesLeftOut.name, " event=SKS", event,
+                              " count=", count, " reason=slow_reader"));
     }
   }
 
@@ -83,6 +115,10 @@
   absl::Mutex mutex_;
   std::map<int, uint64_t> left_out_ ABSL_GUARDED_BY(mutex_);
   std::atomic<bool> stop_{false};
+  absl::Notification finished_;
+  /// Lines carry their own time, and the place in the code is that of the
+  /// event's number.
+  const bool prefix_before_ = std::exchange(FLAGS_log_prefix, false);
   std::thread thread_;
 };
 
@@ -99,6 +135,7 @@
   lines_.PushReplacingOldest({});
   thread_.join();
   WriteAll();
+  FLAGS_log_prefix = prefix_before_;
 }
 
 }  // namespace
--- a/tools/skylarkshuntd/node_daemon.cc
+++ b/tools/skylarkshuntd/node_daemon.cc
@@ -31,6 +31,9 @@
 /// Wait for a signal while the node serves, and while it ends.
 constexpr absl::Duration kServingWait = absl::Seconds(60);
 constexpr absl::Duration kEndingWait = absl::Milliseconds(20);
+/// Time for the last log lines: a part of the second that data loops keep free
+/// of the grace time.
+constexpr absl::Duration kLogLimit = absl::Milliseconds(400);
 
 absl::string_view RoleName(Role role) {
   return role == Role::kEntry ? "entry" : "agent";
@@ -119,8 +122,9 @@
   Supervise(*started.value());
   LogLine(kNodeEnded).Field("incarnation", ToNumber(options.incarnation));
   // A call to the store may still wait for its time-out, longer than the
-  // process may take to end. Nothing it could bring matters any more.
-  log.reset();
+  // process may take to end. Nothing it could bring matters any more. Its
+  // thread may log meanwhile, so that the writer must outlive it.
+  static_cast<void>(log->Finish(kLogLimit));
   _exit(kExitOk);
 }
 
--- a/unittests/base/log_writer_test.cc
+++ b/unittests/base/log_writer_test.cc
@@ -61,6 +61,8 @@
   CPPUNIT_TEST_SUITE(LogWriterTest);
   CPPUNIT_TEST(SlowReaderDelaysNobodyAndLossIsReported);
   CPPUNIT_TEST(EndsSoonWithoutLines);
+  CPPUNIT_TEST(EndDoesNotWaitForAStoppedReader);
+  CPPUNIT_TEST(LinesCarryTheTimeOfTheirEvent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -93,6 +95,51 @@
     writer.reset();
     CPPUNIT_ASSERT(absl::Now() - start < absl::Milliseconds(900));
   }
+
+  // Guards against a process that is killed at the end of its grace time since
+  // nobody reads its log, and against the use of a writer that is gone by
+  // threads that still log.
+  void EndDoesNotWaitForAStoppedReader() {
+    PipedOutput output;
+    auto writer = LogWriter::Start();
+    for (int i = 0; i < 2'000; ++i)
+      LogLine(kTestEvent).Field("text", std::string(200, 'x'));
+    const absl::Time start = absl::Now();
+    CPPUNIT_ASSERT(!writer->Finish(absl::Milliseconds(100)));
+    CPPUNIT_ASSERT(absl::Now() - start < absl::Seconds(2));
+    LogLine(kTestEvent).Field("text", "late");
+    std::string text;
+    std::thread reader([&] { text = output.ReadToEnd(); });
+    writer.reset();
+    output.Restore();
+    reader.join();
+    CPPUNIT_ASSERT(text.find("text=late") != std::string::npos);
+  }
+
+  // Guards against lines whose time is that of the writer, up to 100 ms after
+  // the decision that they report.
+  void LinesCarryTheTimeOfTheirEvent() {
+    PipedOutput output;
+    auto writer = LogWriter::Start();
+    const absl::Time before = absl::Now();
+    LogLine(kTestEvent).Field("text", "timed");
+    const absl::Time after = absl::Now();
+    CPPUNIT_ASSERT(writer->Finish(absl::Seconds(5)));
+    std::string text;
+    std::thread reader([&] { text = output.ReadToEnd(); });
+    writer.reset();
+    output.Restore();
+    reader.join();
+    absl::Time logged;
+    std::string error;
+    CPPUNIT_ASSERT_MESSAGE(
+        text, absl::ParseTime(absl::RFC3339_full,
+                              text.substr(0, text.find(' ')), &logged, &error));
+    CPPUNIT_ASSERT(logged >= absl::FromUnixMicros(absl::ToUnixMicros(before)) &&
+                   logged <= after);
+    CPPUNIT_ASSERT(text.find(" info SKS1099 test_line text=timed") !=
+                   std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogWriterTest);
