Look counters of refusals up once, keep the configuration's prefix

Cause: each refused or returned packet built a label text and searched the registry under a lock; the follower worked out its prefix in two places. Change: the decision log keeps the counters by kind and reason, the follower its prefix.

--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -65,6 +65,7 @@
                 std::unique_ptr<PlatformClient> store,
                 std::unique_ptr<PlatformClient> first)
       : options_(options),
+        prefix_(options.key.substr(0, options.key.find('/') + 1)),
         store_(std::move(store)),
         first_(std::move(first)),
         calls_(options.counters->Find("skylarkshunt_store_calls_total",
@@ -228,10 +229,8 @@
   }
 
   bool ListConfiguration(Revision& position) {
-    const std::string prefix =
-        options_.key.substr(0, options_.key.find('/') + 1);
     PlatformClient& store = routes() == nullptr ? *first_ : *store_;
-    const Result<ObjectList> list = store.List(prefix);
+    const Result<ObjectList> list = store.List(prefix_);
     if (!Note(list, "list_configuration"))
       return false;
     for (const ConfigRecord& record : list.value().objects)
@@ -242,10 +241,8 @@
 
   /// Returns false when the configuration must be listed again.
   bool WatchConfiguration(Revision& position) {
-    const std::string prefix =
-        options_.key.substr(0, options_.key.find('/') + 1);
     const Result<WatchBatch> batch =
-        store_->Watch(prefix, position, kWatchWait);
+        store_->Watch(prefix_, position, kWatchWait);
     // An event that cannot be read would come again and again from the same
     // position.
     const bool list_again =
@@ -373,6 +370,8 @@
   static constexpr size_t kMaxDocumentBytes = 2'200'000;
 
   const Options options_;
+  /// Kind of the configuration's object, with its slash.
+  const std::string prefix_;
   const std::unique_ptr<PlatformClient> store_;
   /// For the first configuration.
   const std::unique_ptr<PlatformClient> first_;
--- a/lib/node/decision_log.cc
+++ b/lib/node/decision_log.cc
@@ -113,19 +113,25 @@
     case DecisionKind::kRefused:
     case DecisionKind::kCut:
     case DecisionKind::kGivenBack:
-      counters_
-          .Find("skylarkshunt_refusals_total",
-                "Flows refused, cut or given back, by reason.",
-                MetricType::kCounter,
-                absl::StrCat("decision=\"", DecisionName(decision.kind),
-                             "\",reason=\"", decision.reason, "\""))
-          .Increment();
+      RefusalCounter(decision).Increment();
       return;
     default:
       return;
   }
 }
 
+Counter& DecisionLog::RefusalCounter(const Decision& decision) {
+  Counter*& counter = refusals_[{decision.kind, decision.reason}];
+  if (counter == nullptr) {
+    counter = &counters_.Find(
+        "skylarkshunt_refusals_total",
+        "Flows refused, cut or given back, by reason.", MetricType::kCounter,
+        absl::StrCat("decision=\"", DecisionName(decision.kind), "\",reason=\"",
+                     decision.reason, "\""));
+  }
+  return *counter;
+}
+
 void DecisionLog::ReportLeftOut(absl::Time now) {
   second_ = now;
   for (size_t i = 0; i < kDecisionKinds; ++i) {
--- a/lib/node/decision_log.h
+++ b/lib/node/decision_log.h
@@ -3,8 +3,10 @@
 
 #include <array>
 #include <cstdint>
-#include <string>
+#include <utility>
 
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "decision_history.h"
 #include "latency_metric.h"
@@ -31,6 +33,9 @@
 
  private:
   void Count(const Decision& decision);
+  /// The counter of the decision's kind and reason; looked up in the registry,
+  /// which takes a lock and a search, once only.
+  Counter& RefusalCounter(const Decision& decision);
 
   struct Kind {
     Counter* total = nullptr;
@@ -41,6 +46,9 @@
   DecisionHistory& history_;
   CounterRegistry& counters_;
   std::array<Kind, kDecisionKinds> kinds_;
+  /// Reasons have static storage.
+  absl::flat_hash_map<std::pair<DecisionKind, absl::string_view>, Counter*>
+      refusals_;
   /// By RequestKind.
   std::array<LatencyMetric, 3> first_byte_;
   LatencyMetric view_age_;
