--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -41,11 +41,17 @@
   /// Opening packets sent there since it last told its load.
   uint32_t unreported = 0;
   absl::Time last_sent;
+  /// Opening packets without an answer since it was last heard.
+  uint32_t unanswered = 0;
 };
 
 /// Whether the agent has been heard lately. Thread-safe on a const object.
 bool IsHeard(const AgentView& agent, absl::Time now);
 
+/// An opening packet that was sent to `agent` at `sent` has had no answer.
+/// After two of them an agent counts as silent until it is heard again.
+void NoteUnanswered(AgentView& agent, absl::Time sent);
+
 /// What became known with a message of an agent.
 enum class AgentNews : uint8_t {
   kNone,
--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -15,6 +15,7 @@
 #include "skylarkshunt/forwarding/load_model.h"
 #include "skylarkshunt/forwarding/messages.h"
 #include "skylarkshunt/forwarding/opening_queue.h"
+#include "skylarkshunt/forwarding/outcome_model.h"
 #include "skylarkshunt/forwarding/target_state.h"
 #include "skylarkshunt/packets/packet.h"
 
@@ -119,12 +120,18 @@
     bool target_sequence_known = false;
     /// The target has sent more than its grant, so that the flow is open there.
     bool confirmed = false;
+    /// The request has been counted as failed, since it had no answer for long.
+    bool overdue = false;
     uint32_t target_sequence = 0;
     /// Next byte of the client that starts a new request.
     uint32_t client_next = 0;
     bool client_next_known = false;
     /// Next byte that the client expects; the sequence of a reset.
     uint32_t client_expects = 0;
+    /// First byte of the answer to the last request, and the byte after what
+    /// was seen of it.
+    uint32_t answer_begin = 0;
+    uint32_t answer_end = 0;
     uint32_t busy_before = 0;
     absl::Time opened;
     absl::Time requested;
@@ -153,15 +160,26 @@
                  Endpoint entry,
                  absl::Time now,
                  AgentActions& actions);
+  /// Tells an entry that the flow is here.
+  void TellPlaced(const FlowId& flow,
+                  Endpoint entry,
+                  absl::Time now,
+                  AgentActions& actions) const;
   void OpenAtTarget(const WaitingOpening& opening,
                     absl::Time now,
                     AgentActions& actions);
   /// Gives free slots to waiting opening packets, or returns them to their
   /// entries while the target takes none.
   void ServeQueue(absl::Time now, AgentActions& actions);
-  void RefuseWaiting(const WaitingOpening& opening,
-                     absl::string_view reason,
-                     AgentActions& actions);
+  /// Returns a packet that the target never saw, so that nothing has run. Only
+  /// its entry knows whether another agent has taken it meanwhile, and so
+  /// whether the client may be refused.
+  void GiveBackWaiting(WaitingOpening opening,
+                       ReturnReason reason,
+                       absl::Time now,
+                       AgentActions& actions);
+  /// Expected time of the target for a request.
+  absl::Duration ServiceTime(absl::Time now) const;
   /// Time from a slot to the first byte at the caller.
   absl::Duration AnswerTime(absl::Time now) const;
   /// Most requests that the target holds at a time: its slots, and what fills
@@ -178,6 +196,10 @@
                         const PacketHeader& header,
                         absl::Time now,
                         AgentActions& actions);
+  /// Takes the outcome of a request into account once its answer has ended.
+  void NoteAnswerEnd(const FlowId& id, const Flow& flow, absl::Time now);
+  /// Counts a request that has had no answer for too long.
+  void NoteUnanswered(Flow& flow, absl::Time now);
   void OnReturnedByTarget(const PacketHeader& header,
                           absl::Span<const uint8_t> packet,
                           absl::Time now,
@@ -202,9 +224,11 @@
   const Options options_;
   TargetState target_;
   ServiceTimeModel service_time_;
+  OutcomeModel outcomes_;
   OpeningQueue queue_;
-  /// Packets of the queue that the last call passed to the target.
-  std::vector<WaitingOpening> served_;
+  /// Packets of the queue that the last call passed to the target or gave back.
+  /// A deque, since actions point to their bytes.
+  std::deque<WaitingOpening> served_;
   absl::Duration handshake_time_;
   absl::flat_hash_map<FlowId, Flow> flows_;
   /// Flows that the target returned a packet of, and when.
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -2,6 +2,7 @@
 #define SKYLARKSHUNT_FORWARDING_ENTRY_FORWARDER_H_
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <vector>
 
@@ -18,7 +19,7 @@
 namespace skylarkshunt {
 
 /// What an entry has to send, in order. Spans point into the packet that was
-/// passed in.
+/// passed in, or into the forwarder until its next call.
 struct EntryActions {
   struct ToAgent {
     Endpoint agent;
@@ -66,6 +67,11 @@
                 Endpoint agent,
                 absl::Time now,
                 EntryActions& actions);
+  /// Places opening packets again whose agent has not answered. Call it at
+  /// next_deadline() or before.
+  void Tick(absl::Time now, EntryActions& actions);
+  /// When Tick() has something to do; the infinite future if never.
+  absl::Time next_deadline();
   /// Forgets idle flows and searches. Call it every second.
   void ForgetIdle(absl::Time now);
 
@@ -76,6 +82,16 @@
     InstanceUid agent{};
     absl::Time used;
   };
+  /// An opening packet that its agent has not answered.
+  struct Unanswered {
+    FlowId flow;
+    uint64_t id = 0;
+    InstanceUid agent{};
+    absl::Time sent;
+    /// Its span does not live; `packet` holds the bytes.
+    ForwardedPacket message;
+    std::vector<uint8_t> packet;
+  };
   struct Search {
     absl::Time started;
     std::vector<InstanceUid> not_held;
@@ -90,16 +106,30 @@
   void Place(const FlowId& flow,
              ForwardedPacket message,
              DecisionKind kind,
+             absl::string_view reason,
              absl::Time now,
              EntryActions& actions);
+  void SendOpening(const FlowId& flow,
+                   ForwardedPacket message,
+                   const Placement& placement,
+                   DecisionKind kind,
+                   absl::string_view reason,
+                   absl::Time now,
+                   EntryActions& actions);
+  /// Sends an opening packet whose agent is silent to another one, if there is
+  /// one.
+  void PlaceElsewhere(const Unanswered& overdue,
+                      absl::Time now,
+                      EntryActions& actions);
+  /// Keeps an opening packet until its agent answers.
+  void Await(const FlowId& flow,
+             InstanceUid agent,
+             const ForwardedPacket& message,
+             absl::Time now);
   void PlaceAnywhere(const FlowId& flow,
                      ForwardedPacket message,
                      absl::Time now,
                      EntryActions& actions);
-  void SendTo(AgentView& agent,
-              const FlowId& flow,
-              const ForwardedPacket& message,
-              EntryActions& actions);
   void SearchFlow(const Route& route,
                   const FlowId& flow,
                   absl::Span<const uint8_t> packet,
@@ -126,6 +156,13 @@
   AgentDirectory agents_;
   absl::flat_hash_map<FlowId, CachedFlow> flows_;
   absl::flat_hash_map<FlowId, Search> searches_;
+  /// By the time at which they were sent. Those that were answered are no
+  /// longer in `awaited_` under their id.
+  std::deque<Unanswered> unanswered_;
+  absl::flat_hash_map<FlowId, uint64_t> awaited_;
+  uint64_t next_id_ = 1;
+  /// Bytes of packets that Tick() placed again.
+  std::vector<Unanswered> overdue_;
 };
 
 }  // namespace skylarkshunt
--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -29,6 +29,9 @@
   /// Expected time from a request to its first byte without waiting, in
   /// microseconds.
   uint32_t service_time_us = 0;
+  /// Share of recent requests that the target failed, in thousandths, as
+  /// OutcomeModel tells it; to be compared with other targets.
+  uint16_t failing_permille = 0;
   InstanceState state = InstanceState::kLeaving;
 
   bool accepts_flows() const { return state == InstanceState::kServing; }
@@ -105,9 +108,15 @@
   kTargetRefused = 3,  ///< The target returned the opening packet.
   kTargetSilent = 4,   ///< The target did not answer the opening packet.
   kNotHeld = 5,        ///< The target does not hold the flow.
+  kNoSlotInTime = 6,   ///< No slot comes free before the client gives up.
+  kQueueFull = 7,      ///< More clients wait for a slot than the agent keeps.
 };
 /// Number of values of ReturnReason.
-inline constexpr size_t kReturnReasons = 6;
+inline constexpr size_t kReturnReasons = 8;
+
+/// Whether no other agent is asked, since the client is to be refused at once.
+/// Thread-safe.
+bool IsFinal(ReturnReason reason);
 
 /// Returns a stable name such as "busy". Thread-safe.
 absl::string_view ReturnReasonName(ReturnReason reason);
--- a/include/skylarkshunt/forwarding/opening_queue.h
+++ b/include/skylarkshunt/forwarding/opening_queue.h
@@ -43,8 +43,12 @@
   /// the first byte at the caller.
   absl::optional<WaitingOpening> Pop(absl::Time now,
                                      absl::Duration answer_time);
-  /// Removes those whose client gives up before `time`.
-  std::vector<WaitingOpening> TakeGivenUp(absl::Time time);
+  /// Removes those that get no slot before their client gives up: those whose
+  /// client does so within kRefusalMargin, and those within kJudgedBefore whose
+  /// turn comes later at the rate at which late ones got slots lately.
+  /// `slot_interval` is the time between two free slots of the target.
+  std::vector<WaitingOpening> TakeHopeless(absl::Time now,
+                                           absl::Duration slot_interval);
   /// Removes all.
   std::vector<WaitingOpening> TakeAll();
 
@@ -57,8 +61,18 @@
   /// Most opening packets that wait. At the slowest service times of the
   /// deployments a target serves fewer within the time that clients wait.
   static constexpr size_t kMaxWaiting = 256;
+  /// A waiting opening packet is refused this much before its client gives up,
+  /// so that the reset reaches it in time.
+  static constexpr absl::Duration kRefusalMargin = absl::Milliseconds(60);
+  /// From this time before its client gives up on, a packet is kept only while
+  /// a slot is expected in time. A client that is refused then has time for
+  /// another attempt; one that is refused earlier would ask again while the
+  /// targets are still full.
+  static constexpr absl::Duration kJudgedBefore = absl::Milliseconds(400);
 
  private:
+  /// Share of the slots that went to late ones while some waited.
+  double late_share_ = 1.0;
   std::vector<WaitingOpening> waiting_;
 };
 
--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "absl/container/inlined_vector.h"
 #include "skylarkshunt/base/hash.h"
 #include "skylarkshunt/forwarding/load_model.h"
 
@@ -22,6 +23,13 @@
 /// Service times within this ratio of the fastest count as equal, since they
 /// are estimates; thousandths.
 constexpr uint64_t kEqualServiceTimeMilli = 1600;
+/// What a failed request costs its caller, in microseconds: about the time
+/// until the next attempt is answered. It is a cost and not an exclusion, so
+/// that a service stays up when all its targets look bad.
+constexpr uint64_t kFailureCostUs = 200'000;
+/// Failing shares that are less than this above the median of the service do
+/// not count, since few outcomes decide them; thousandths.
+constexpr uint64_t kToleratedFailingPermille = 100;
 /// An agent may be this much worse than the second best before it declines, in
 /// microseconds: two hops between data centres.
 constexpr uint32_t kDeclineMarginUs = 2000;
@@ -32,6 +40,11 @@
 /// An agent that is silent for three of these is noticed within the time that
 /// a client waits for its second copy to be answered elsewhere.
 constexpr absl::Duration kLongestReportInterval = absl::Seconds(1);
+/// Opening packets without an answer after which an agent counts as silent: one
+/// may be a lost datagram.
+constexpr uint32_t kUnansweredUntilSilent = 2;
+/// Most agents whose failing share decides the median.
+constexpr size_t kMedianAgents = 64;
 constexpr uint64_t kTieSeed = 0x746965;
 
 struct Candidate {
@@ -57,6 +70,26 @@
                    agent.identity.uid) == request.declined.end();
 }
 
+/// Returns the median of the failing shares. Fewer than half of the targets can
+/// stand out, so that a burst or a fault behind all of them excludes nobody.
+uint64_t UsualFailingPermille(AgentDirectory& directory,
+                              const PlacementRequest& request,
+                              absl::Time now) {
+  absl::InlinedVector<uint16_t, kMedianAgents> shares;
+  uint16_t largest = 0;
+  for (const AgentView& agent : directory.OfService(request.service)) {
+    if (!IsCandidate(agent, request, now) || shares.size() == kMedianAgents)
+      continue;
+    shares.push_back(agent.load.failing_permille);
+    largest = std::max(largest, agent.load.failing_permille);
+  }
+  if (largest <= kToleratedFailingPermille)
+    return 0;
+  const auto median = shares.begin() + (shares.size() - 1) / 2;
+  std::nth_element(shares.begin(), median, shares.end());
+  return *median;
+}
+
 }  // namespace
 
 absl::Duration AgentReportInterval(size_t entries) {
@@ -65,7 +98,13 @@
 }
 
 bool IsHeard(const AgentView& agent, absl::Time now) {
-  return now - agent.heard < agent.suspect_after;
+  return now - agent.heard < agent.suspect_after &&
+         agent.unanswered < kUnansweredUntilSilent;
+}
+
+void NoteUnanswered(AgentView& agent, absl::Time sent) {
+  if (agent.heard <= sent)
+    ++agent.unanswered;
 }
 
 AgentNews AgentDirectory::Update(const AgentIdentity& agent,
@@ -95,6 +134,7 @@
   known->endpoint = endpoint;
   known->load = load;
   known->heard = now;
+  known->unanswered = 0;
   if (known->unreported > 0)
     --known->unreported;
   if (restarted)
@@ -169,6 +209,7 @@
                                     const PlacementRequest& request,
                                     absl::Time now) {
   uint64_t fastest_us = kNoLimit;
+  const uint64_t usual_failing = UsualFailingPermille(directory, request, now);
   for (const AgentView& agent : directory.OfService(request.service)) {
     if (agent.load.service_time_us != 0 && IsCandidate(agent, request, now))
       fastest_us = std::min<uint64_t>(fastest_us, agent.load.service_time_us);
@@ -190,6 +231,9 @@
       candidate.cost_us += agent.load.service_time_us - fastest_us;
     if (agent.identity.data_centre != request.data_centre)
       candidate.cost_us += kRemoteCostUs;
+    const uint64_t failing = agent.load.failing_permille;
+    if (failing > usual_failing + kToleratedFailingPermille)
+      candidate.cost_us += kFailureCostUs * (failing - usual_failing) / 1000;
     candidate.cost_us += kOccupancyCostUs *
                          (uint64_t{agent.load.busy} + unreported) /
                          agent.load.slots;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -47,12 +47,18 @@
 /// Share of the service time that is reserved for an answer in time: about nine
 /// of ten requests take less.
 constexpr double kServiceTimeMargin = 1.8;
-/// A waiting opening packet is refused this much before its client gives up, so
-/// that the reset reaches it in time.
-constexpr absl::Duration kGiveUpMargin = absl::Milliseconds(60);
 /// Time between two looks at the queue for clients that give up.
 constexpr absl::Duration kQueueCheckInterval = absl::Milliseconds(20);
 
+/// A request without an answer for this long counts as failed: longer than any
+/// latency objective of the deployments, and a multiple of the usual time below
+/// the one at which the usual time itself is raised.
+constexpr absl::Duration kLeastOverdueTime = absl::Seconds(1);
+constexpr double kOverdueFactor = 6.0;
+/// A request whose client has ended its side and that sees no packet for this
+/// long runs no more.
+constexpr absl::Duration kAbandonedAfter = absl::Seconds(1);
+
 bool FollowsSequence(uint32_t acknowledged, uint32_t initial) {
   return acknowledged - initial < kSequenceWindow;
 }
@@ -104,10 +110,13 @@
   if (flows_.contains(delivery.flow)) {
     // A copy: the target answers it as it answered the first one.
     Deliver(std::move(delivery), forwarded.packet, actions);
+    TellPlaced(header.flow_from_client(), entry, now, actions);
     return;
   }
-  if (queue_.Contains(delivery.flow))
+  if (queue_.Contains(delivery.flow)) {
+    TellPlaced(delivery.flow, entry, now, actions);
     return;
+  }
   if (forwarded.service != options_.identity.service) {
     GiveBack(delivery, ReturnReason::kWrongService, forwarded.packet, now,
              actions);
@@ -133,28 +142,29 @@
   opening.gives_up = now + header.opening_time_left;
   opening.declined = forwarded.declined;
   opening.packet.assign(forwarded.packet.begin(), forwarded.packet.end());
-  const absl::optional<WaitingOpening> dropped =
-      queue_.Push(std::move(opening), now);
+  absl::optional<WaitingOpening> dropped = queue_.Push(std::move(opening), now);
   if (dropped.has_value())
-    RefuseWaiting(*dropped, "queue_full", actions);
+    GiveBackWaiting(*std::move(dropped), ReturnReason::kQueueFull, now,
+                    actions);
   ServeQueue(now, actions);
+  TellPlaced(delivery.flow, entry, now, actions);
+}
+
+void AgentForwarder::TellPlaced(const FlowId& flow,
+                                Endpoint entry,
+                                absl::Time now,
+                                AgentActions& actions) const {
   actions.to_entries.push_back(
-      {entry, FlowPlaced{options_.identity, load(now), delivery.flow}});
+      {entry, FlowPlaced{options_.identity, load(now), flow}});
 }
 
 void AgentForwarder::ServeQueue(absl::Time now, AgentActions& actions) {
   if (queue_.empty())
     return;
   if (!load(now).accepts_flows()) {
-    for (WaitingOpening& opening : queue_.TakeAll()) {
-      Delivery delivery;
-      delivery.flow = opening.flow;
-      delivery.entry = opening.entry;
-      delivery.declined = opening.declined;
-      served_.push_back(std::move(opening));
-      GiveBack(delivery, ReturnReason::kNotAccepting, served_.back().packet,
-               now, actions);
-    }
+    for (WaitingOpening& opening : queue_.TakeAll())
+      GiveBackWaiting(std::move(opening), ReturnReason::kNotAccepting, now,
+                      actions);
     return;
   }
   while (busy_ < RequestLimit(now)) {
@@ -197,28 +207,30 @@
   unanswered_.push_back(std::move(unanswered));
 }
 
-void AgentForwarder::RefuseWaiting(const WaitingOpening& opening,
-                                   absl::string_view reason,
-                                   AgentActions& actions) {
-  // The target never saw the packet, so that nothing has run.
-  actions.resets.push_back({opening.flow, 0});
-  actions.decisions.push_back(
-      MakeDecision(DecisionKind::kRefused, opening.flow, reason));
+void AgentForwarder::GiveBackWaiting(WaitingOpening opening,
+                                     ReturnReason reason,
+                                     absl::Time now,
+                                     AgentActions& actions) {
+  Delivery delivery;
+  delivery.flow = opening.flow;
+  delivery.entry = opening.entry;
+  delivery.declined = opening.declined;
+  served_.push_back(std::move(opening));
+  GiveBack(delivery, reason, served_.back().packet, now, actions);
 }
 
-absl::Duration AgentForwarder::AnswerTime(absl::Time now) const {
+absl::Duration AgentForwarder::ServiceTime(absl::Time now) const {
   const absl::Duration known = service_time_.estimate(now);
-  return handshake_time_ +
-         kServiceTimeMargin *
-             (known > absl::ZeroDuration() ? known : kInitialServiceTime);
+  return known > absl::ZeroDuration() ? known : kInitialServiceTime;
+}
+
+absl::Duration AgentForwarder::AnswerTime(absl::Time now) const {
+  return handshake_time_ + kServiceTimeMargin * ServiceTime(now);
 }
 
 uint32_t AgentForwarder::RequestLimit(absl::Time now) const {
-  const absl::Duration known = service_time_.estimate(now);
-  const absl::Duration service_time =
-      known > absl::ZeroDuration() ? known : kInitialServiceTime;
   const double ahead =
-      target_.slots() * absl::FDivDuration(handshake_time_, service_time);
+      target_.slots() * absl::FDivDuration(handshake_time_, ServiceTime(now));
   return target_.slots() + static_cast<uint32_t>(std::ceil(std::min<double>(
                                ahead, kMaxAheadFactor * target_.slots())));
 }
@@ -258,10 +270,8 @@
     GiveBack(delivery, ReturnReason::kNotHeld, forwarded.packet, now, actions);
     return;
   }
-  if (forwarded.mode == ForwardMode::kSearch) {
-    actions.to_entries.push_back(
-        {entry, FlowPlaced{options_.identity, load(now), id}});
-  }
+  if (forwarded.mode == ForwardMode::kSearch)
+    TellPlaced(id, entry, now, actions);
   flow.entry = entry;
   NoteClientPacket(flow, header, now);
   Deliver(std::move(delivery), forwarded.packet, actions);
@@ -284,6 +294,11 @@
       if (!flow.client_next_known && flow.opened != absl::Time())
         handshake_time_ +=
             kHandshakeWeight * (now - flow.opened - handshake_time_);
+      if (flow.client_next_known && !flow.busy && !flow.target_ended)
+        NoteAnswerEnd(header.flow_from_client(), flow, now);
+      flow.answer_begin = header.acknowledged;
+      flow.answer_end = header.acknowledged;
+      flow.overdue = false;
       flow.client_next = end;
       flow.client_next_known = true;
       flow.requested = now;
@@ -359,10 +374,19 @@
     decision.time = elapsed;
     actions.decisions.push_back(decision);
   }
+  const uint32_t end = header.sequence + header.payload_bytes;
+  if (answers && IsAfter(end, flow.answer_end))
+    flow.answer_end = end;
+  const bool unfinished = flow.phase == Phase::kOpen && flow.client_next_known;
+  if (header.reset && unfinished && !flow.target_ended && !flow.overdue)
+    outcomes_.RecordFailure(now);
   if (answers || header.reset)
     SetBusy(flow, false);
-  if (header.ending)
+  if (header.ending) {
+    if (unfinished && !flow.target_ended)
+      NoteAnswerEnd(id, flow, now);
     flow.target_ended = true;
+  }
   const bool over = header.reset || (flow.client_ended && flow.target_ended);
   if (over && flow.phase != Phase::kEnded) {
     flow.phase = Phase::kEnded;
@@ -370,6 +394,27 @@
   }
 }
 
+void AgentForwarder::NoteAnswerEnd(const FlowId& id,
+                                   const Flow& flow,
+                                   absl::Time now) {
+  // An answer without a byte is the end of a flow that was not used.
+  if (flow.answer_end == flow.answer_begin || flow.overdue)
+    return;
+  outcomes_.RecordAnswer(id.service, flow.answer_end - flow.answer_begin, now);
+}
+
+void AgentForwarder::NoteUnanswered(Flow& flow, absl::Time now) {
+  const absl::Duration elapsed = now - flow.requested;
+  const absl::Duration usual = service_time_.estimate(now);
+  service_time_.RecordUnanswered(elapsed, now);
+  if (flow.overdue ||
+      elapsed < std::max(kLeastOverdueTime, kOverdueFactor * usual)) {
+    return;
+  }
+  flow.overdue = true;
+  outcomes_.RecordFailure(now);
+}
+
 void AgentForwarder::OnReturnedByTarget(const PacketHeader& header,
                                         absl::Span<const uint8_t> packet,
                                         absl::Time now,
@@ -450,6 +495,7 @@
   if (news == TargetNews::kStartedAgain) {
     CutFlows("target_started_again", actions);
     service_time_.Reset();
+    outcomes_.Reset();
   }
   ServeQueue(now, actions);
   return news;
@@ -515,10 +561,11 @@
       SetBusy(known->second, false);
     granted_.pop_front();
   }
-  for (const WaitingOpening& opening :
-       queue_.TakeGivenUp(now + kGiveUpMargin)) {
-    RefuseWaiting(opening, "no_slot_in_time", actions);
-  }
+  const absl::Duration slot_interval =
+      ServiceTime(now) / std::max<uint32_t>(1, target_.slots());
+  for (WaitingOpening& opening : queue_.TakeHopeless(now, slot_interval))
+    GiveBackWaiting(std::move(opening), ReturnReason::kNoSlotInTime, now,
+                    actions);
   ServeQueue(now, actions);
   if (now < next_sweep_)
     return;
@@ -531,7 +578,9 @@
     if (age > lifetime)
       expired.push_back(id);
     if (flow.busy && flow.phase == Phase::kOpen)
-      service_time_.RecordUnanswered(now - flow.requested, now);
+      NoteUnanswered(flow, now);
+    if (flow.client_ended && age > kAbandonedAfter)
+      SetBusy(flow, false);
   }
   for (const FlowId& id : expired)
     EraseFlow(id);
@@ -575,6 +624,7 @@
   load.service_time_us = static_cast<uint32_t>(
       std::min<int64_t>(absl::ToInt64Microseconds(service_time_.estimate(now)),
                         std::numeric_limits<uint32_t>::max()));
+  load.failing_permille = outcomes_.failing_permille(now);
   load.state = target_.state(now);
   if (leaving_)
     load.state = std::max(load.state, InstanceState::kLeaving);
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -28,8 +28,18 @@
 /// A client that waits no longer than this sends no further copy of its opening
 /// packet.
 constexpr absl::Duration kLastCopyTimeLeft = absl::Seconds(1);
+/// Time that an agent has to answer an opening packet before another one gets
+/// it: a round trip between data centres takes a few milliseconds, and an agent
+/// that has used up its processor share stands still for up to 100 ms. The
+/// client's own first copy comes after 200 ms.
+constexpr absl::Duration kAgentAnswerTime = absl::Milliseconds(60);
+/// Most opening packets that are kept until their agent answers. Beyond it the
+/// client's copies serve.
+constexpr size_t kMaxUnanswered = 4'096;
 constexpr uint32_t kNoLimit = std::numeric_limits<uint32_t>::max();
 
+constexpr absl::string_view kLeastExpectedTime = "least_expected_time";
+
 /// Marks a packet that the next agent takes in any case.
 void MarkForced(ForwardedPacket& message) {
   message.declined.resize(kMaxDeclines);
@@ -132,12 +142,14 @@
         MakeDecision(DecisionKind::kHeldBack, flow, "no_agent_yet"));
     return;
   }
-  Place(flow, std::move(message), DecisionKind::kPlaced, now, actions);
+  Place(flow, std::move(message), DecisionKind::kPlaced, kLeastExpectedTime,
+        now, actions);
 }
 
 void EntryForwarder::Place(const FlowId& flow,
                            ForwardedPacket message,
                            DecisionKind kind,
+                           absl::string_view reason,
                            absl::Time now,
                            EntryActions& actions) {
   PlacementRequest request;
@@ -146,16 +158,26 @@
   request.flow_hash = StableFlowHash(flow);
   request.declined = message.declined;
   const absl::optional<Placement> placement = PlaceFlow(agents_, request, now);
-  if (!placement.has_value()) {
+  if (placement.has_value())
+    SendOpening(flow, std::move(message), *placement, kind, reason, now,
+                actions);
+  else
     PlaceAnywhere(flow, std::move(message), now, actions);
-    return;
-  }
-  AgentView& agent = *placement->agent;
-  message.wait_limit_us = placement->wait_limit_us;
-  Decision decision = MakeDecision(kind, flow, "least_expected_time");
+}
+
+void EntryForwarder::SendOpening(const FlowId& flow,
+                                 ForwardedPacket message,
+                                 const Placement& placement,
+                                 DecisionKind kind,
+                                 absl::string_view reason,
+                                 absl::Time now,
+                                 EntryActions& actions) {
+  AgentView& agent = *placement.agent;
+  message.wait_limit_us = placement.wait_limit_us;
+  Decision decision = MakeDecision(kind, flow, reason);
   decision.agent = agent.identity.uid;
   decision.view_age = now - agent.heard;
-  decision.time = absl::Microseconds(placement->wait_us);
+  decision.time = absl::Microseconds(placement.wait_us);
   decision.busy = agent.load.busy;
   decision.slots = agent.load.slots;
   decision.hops = static_cast<uint32_t>(message.declined.size());
@@ -165,9 +187,75 @@
   ++agent.unreported;
   agent.last_sent = now;
   Remember(flow, agent.identity.uid, now);
+  Await(flow, agent.identity.uid, message, now);
   actions.to_agents.push_back({agent.endpoint, std::move(message)});
 }
 
+void EntryForwarder::Await(const FlowId& flow,
+                           InstanceUid agent,
+                           const ForwardedPacket& message,
+                           absl::Time now) {
+  if (unanswered_.size() >= kMaxUnanswered)
+    return;
+  Unanswered& unanswered = unanswered_.emplace_back();
+  unanswered.flow = flow;
+  unanswered.id = next_id_++;
+  unanswered.agent = agent;
+  unanswered.sent = now;
+  unanswered.message = message;
+  unanswered.packet.assign(message.packet.begin(), message.packet.end());
+  awaited_[flow] = unanswered.id;
+}
+
+void EntryForwarder::Tick(absl::Time now, EntryActions& actions) {
+  overdue_.clear();
+  while (next_deadline() <= now) {
+    overdue_.push_back(std::move(unanswered_.front()));
+    unanswered_.pop_front();
+    awaited_.erase(overdue_.back().flow);
+  }
+  for (const Unanswered& overdue : overdue_)
+    PlaceElsewhere(overdue, now, actions);
+}
+
+void EntryForwarder::PlaceElsewhere(const Unanswered& overdue,
+                                    absl::Time now,
+                                    EntryActions& actions) {
+  AgentView* agent = agents_.Find(overdue.agent);
+  if (agent != nullptr)
+    NoteUnanswered(*agent, overdue.sent);
+  const Route* route =
+      routes_ == nullptr ? nullptr : routes_->Find(overdue.flow.service);
+  if (route == nullptr || overdue.message.declined.size() + 1 >= kMaxDeclines)
+    return;
+  ForwardedPacket message = overdue.message;
+  message.service = ChooseService(*route, overdue.flow);
+  message.declined.push_back(overdue.agent);
+  message.packet = overdue.packet;
+  PlacementRequest request;
+  request.service = message.service;
+  request.data_centre = data_centre_;
+  request.flow_hash = StableFlowHash(overdue.flow);
+  request.declined = message.declined;
+  // Without another agent the client is not refused: the silent one may have
+  // taken the packet.
+  const absl::optional<Placement> placement = PlaceFlow(agents_, request, now);
+  if (placement.has_value())
+    SendOpening(overdue.flow, std::move(message), *placement,
+                DecisionKind::kPlacedAgain, "agent_silent", now, actions);
+}
+
+absl::Time EntryForwarder::next_deadline() {
+  while (!unanswered_.empty()) {
+    const Unanswered& first = unanswered_.front();
+    const auto awaited = awaited_.find(first.flow);
+    if (awaited != awaited_.end() && awaited->second == first.id)
+      return first.sent + kAgentAnswerTime;
+    unanswered_.pop_front();
+  }
+  return absl::InfiniteFuture();
+}
+
 /// All agents that accept flows have passed the packet over: the one with the
 /// least load takes it.
 void EntryForwarder::PlaceAnywhere(const FlowId& flow,
@@ -246,6 +334,24 @@
     SearchFlow(*route, flow, returned.packet, now, actions);
     return;
   }
+  const auto placed = flows_.find(flow);
+  if (placed != flows_.end() && placed->second.agent != returned.agent.uid) {
+    // Another agent has the packet, since this one was silent for a while. A
+    // reset would end the flow there.
+    actions.decisions.push_back(
+        MakeDecision(DecisionKind::kHeldBack, flow, "placed_elsewhere"));
+    return;
+  }
+  awaited_.erase(flow);
+  if (IsFinal(returned.reason)) {
+    // A cache that does not know the flow may belong to an entry that started
+    // again, and another one may have placed a copy.
+    if (placed == flows_.end())
+      return;
+    flows_.erase(placed);
+    Refuse(flow, header, ReturnReasonName(returned.reason), actions);
+    return;
+  }
   if (IsForced(returned)) {
     flows_.erase(flow);
     Refuse(flow, header, ReturnReasonName(returned.reason), actions);
@@ -258,7 +364,8 @@
   message.declined = returned.declined;
   message.declined.push_back(returned.agent.uid);
   message.packet = returned.packet;
-  Place(flow, std::move(message), DecisionKind::kPlacedAgain, now, actions);
+  Place(flow, std::move(message), DecisionKind::kPlacedAgain,
+        kLeastExpectedTime, now, actions);
 }
 
 void EntryForwarder::NoteNotHeld(const ReturnedPacket& returned,
@@ -302,6 +409,7 @@
                               EntryActions& actions) {
   agents_.Update(placed.agent, placed.load, agent, now);
   Remember(placed.flow, placed.agent.uid, now);
+  awaited_.erase(placed.flow);
   if (searches_.erase(placed.flow) > 0) {
     Decision decision =
         MakeDecision(DecisionKind::kFound, placed.flow, "agent_holds_it");
--- a/lib/forwarding/node_codec.cc
+++ b/lib/forwarding/node_codec.cc
@@ -7,7 +7,7 @@
 namespace skylarkshunt {
 namespace {
 
-constexpr uint8_t kVersion = 1;
+constexpr uint8_t kVersion = 2;
 
 /// First byte after the version, one per alternative of NodeMessage.
 enum class Type : uint8_t {
@@ -123,6 +123,7 @@
   writer.Number(load.busy);
   writer.Number(load.open_flows);
   writer.Number(load.service_time_us);
+  writer.Number(load.failing_permille);
   writer.Choice(load.state);
 }
 
@@ -132,6 +133,7 @@
   load.busy = reader.Number<uint16_t>();
   load.open_flows = reader.Number<uint32_t>();
   load.service_time_us = reader.Number<uint32_t>();
+  load.failing_permille = reader.Number<uint16_t>();
   load.state = reader.Choice(InstanceState::kDown);
   return load;
 }
@@ -259,7 +261,7 @@
   ReturnedPacket returned;
   returned.agent = ReadIdentity(reader);
   returned.load = ReadLoad(reader);
-  returned.reason = reader.Choice(ReturnReason::kNotHeld);
+  returned.reason = reader.Choice(ReturnReason::kQueueFull);
   returned.mode = reader.Choice(ForwardMode::kSearch);
   returned.declined = ReadDeclined(reader);
   returned.packet = reader.Rest();
@@ -282,6 +284,11 @@
 
 }  // namespace
 
+bool IsFinal(ReturnReason reason) {
+  return reason == ReturnReason::kNoSlotInTime ||
+         reason == ReturnReason::kQueueFull;
+}
+
 absl::string_view ReturnReasonName(ReturnReason reason) {
   switch (reason) {
     case ReturnReason::kBusy:
@@ -296,6 +303,10 @@
       return "target_silent";
     case ReturnReason::kNotHeld:
       return "not_held";
+    case ReturnReason::kNoSlotInTime:
+      return "no_slot_in_time";
+    case ReturnReason::kQueueFull:
+      return "queue_full";
   }
   return "unknown";
 }
--- a/lib/forwarding/opening_queue.cc
+++ b/lib/forwarding/opening_queue.cc
@@ -7,6 +7,11 @@
 namespace skylarkshunt {
 namespace {
 
+/// Weight of one more slot: about the last ten decide.
+constexpr double kLateShareWeight = 0.1;
+/// Least share of the slots that late ones are taken to get: one of fifty.
+constexpr double kLeastLateShare = 0.02;
+
 bool IsInTime(const WaitingOpening& opening,
               absl::Time now,
               absl::Duration answer_time) {
@@ -57,19 +62,43 @@
       });
   if (first == waiting_.end())
     return absl::nullopt;
+  const bool is_late = !IsInTime(*first, now, answer_time);
+  if (is_late || CountInTime(now, answer_time) < waiting_.size())
+    late_share_ += kLateShareWeight * ((is_late ? 1.0 : 0.0) - late_share_);
   WaitingOpening next = std::move(*first);
   waiting_.erase(first);
+  if (waiting_.empty())
+    late_share_ = 1.0;
   return next;
 }
 
-std::vector<WaitingOpening> OpeningQueue::TakeGivenUp(absl::Time time) {
-  const auto kept = std::stable_partition(
-      waiting_.begin(), waiting_.end(),
-      [time](const WaitingOpening& o) { return o.gives_up > time; });
-  std::vector<WaitingOpening> taken(std::make_move_iterator(kept),
-                                    std::make_move_iterator(waiting_.end()));
-  waiting_.erase(kept, waiting_.end());
-  return taken;
+std::vector<WaitingOpening> OpeningQueue::TakeHopeless(
+    absl::Time now,
+    absl::Duration slot_interval) {
+  std::vector<WaitingOpening> hopeless;
+  const bool any_judged = std::any_of(
+      waiting_.begin(), waiting_.end(), [now](const WaitingOpening& o) {
+        return o.gives_up - now <= kJudgedBefore;
+      });
+  if (!any_judged)
+    return hopeless;
+  std::sort(waiting_.begin(), waiting_.end(),
+            [](const WaitingOpening& a, const WaitingOpening& b) {
+              return a.gives_up < b.gives_up;
+            });
+  const absl::Duration interval =
+      slot_interval / std::max(late_share_, kLeastLateShare);
+  std::vector<WaitingOpening> kept;
+  for (WaitingOpening& opening : waiting_) {
+    const absl::Duration left = opening.gives_up - now - kRefusalMargin;
+    const bool judged = left <= kJudgedBefore - kRefusalMargin;
+    // Those before it in the order have the same claim.
+    const absl::Duration turn = static_cast<double>(kept.size()) * interval;
+    const bool lost = left <= absl::ZeroDuration() || (judged && turn > left);
+    (lost ? hopeless : kept).push_back(std::move(opening));
+  }
+  waiting_ = std::move(kept);
+  return hopeless;
 }
 
 std::vector<WaitingOpening> OpeningQueue::TakeAll() {
--- /dev/null
+++ b/lib/forwarding/outcome_model.cc
@@ -0,0 +1,93 @@
+#include "skylarkshunt/forwarding/outcome_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace skylarkshunt {
+namespace {
+
+/// Weight of one more outcome: about ten decide, which a target at half load
+/// gives within a quarter of a second.
+constexpr double kRecentWeight = 0.12;
+/// Outcomes after which the recent share is believed.
+constexpr uint32_t kLeastSamples = 4;
+/// An answer counts as short below this share of the size that a tenth of the
+/// usual ones stays below: errors are far smaller than any answer with content,
+/// and sizes of one address spread by a factor of ten and more.
+constexpr double kShortShare = 0.6;
+constexpr size_t kLowRankDivisor = 10;
+/// Sizes known before answers are judged.
+constexpr size_t kLeastSizes = 16;
+/// Of so many short answers one is taken for a usual one, so that a service
+/// whose answers became shorter is not taken for a failing one for good.
+constexpr uint32_t kShortOnesPerUsual = 32;
+/// Most addresses whose sizes are learned; answers for others count as usual.
+constexpr size_t kMaxAddresses = 256;
+/// Time without outcomes after which the recent share halves each time.
+constexpr absl::Duration kFreshFor = absl::Seconds(1);
+constexpr absl::Duration kHalvedAfter = absl::Seconds(1);
+constexpr double kPermille = 1000.0;
+
+}  // namespace
+
+void OutcomeModel::RecordAnswer(Endpoint address,
+                                uint32_t bytes,
+                                absl::Time now) {
+  if (sizes_.size() >= kMaxAddresses && !sizes_.contains(address)) {
+    Record(0.0, now);
+    return;
+  }
+  Sizes& sizes = sizes_[address];
+  const bool is_short = IsShort(sizes, bytes);
+  if (!is_short || ++sizes.short_ones % kShortOnesPerUsual == 0)
+    Learn(sizes, bytes);
+  Record(is_short ? 1.0 : 0.0, now);
+}
+
+bool OutcomeModel::IsShort(const Sizes& sizes, uint32_t bytes) {
+  if (sizes.count < kLeastSizes)
+    return false;
+  std::array<uint32_t, std::tuple_size<decltype(sizes.bytes)>::value> sorted =
+      sizes.bytes;
+  const auto low = sorted.begin() + sizes.count / kLowRankDivisor;
+  std::nth_element(sorted.begin(), low, sorted.begin() + sizes.count);
+  return bytes < kShortShare * *low;
+}
+
+void OutcomeModel::Learn(Sizes& sizes, uint32_t bytes) {
+  sizes.bytes[sizes.next] = bytes;
+  sizes.next = (sizes.next + 1) % sizes.bytes.size();
+  sizes.count = std::min(sizes.count + 1, sizes.bytes.size());
+}
+
+void OutcomeModel::RecordFailure(absl::Time now) {
+  Record(1.0, now);
+}
+
+void OutcomeModel::Record(double failed, absl::Time now) {
+  ++samples_;
+  recent_ = Recent(now);
+  recent_ += std::max(kRecentWeight, 1.0 / samples_) * (failed - recent_);
+  sampled_ = now;
+}
+
+void OutcomeModel::Reset() {
+  recent_ = 0;
+  samples_ = 0;
+}
+
+double OutcomeModel::Recent(absl::Time now) const {
+  const absl::Duration stale = now - sampled_ - kFreshFor;
+  if (samples_ == 0 || stale <= absl::ZeroDuration())
+    return recent_;
+  return recent_ * std::exp2(-absl::FDivDuration(stale, kHalvedAfter));
+}
+
+uint16_t OutcomeModel::failing_permille(absl::Time now) const {
+  if (samples_ < kLeastSamples)
+    return 0;
+  return static_cast<uint16_t>(std::lround(Recent(now) * kPermille));
+}
+
+}  // namespace skylarkshunt
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -24,6 +24,8 @@
 constexpr EventId kTargetForeign{3113, "target_of_another_service"};
 constexpr EventId kTargetLeft{3114, "target_left"};
 constexpr EventId kTargetProbed{3115, "target_probed"};
+constexpr EventId kTargetFailing{3116, "target_failing"};
+constexpr EventId kTargetWell{3117, "target_well_again"};
 constexpr EventId kSuspended{1012, "agent_was_suspended"};
 
 /// An agent that ends keeps forwarding for this long at least, so that its last
@@ -32,6 +34,11 @@
 /// Time kept free before the process is killed.
 constexpr absl::Duration kLeaveMargin = absl::Seconds(1);
 
+/// Failing shares at which a target is reported as failing, and as well again;
+/// thousandths. Their distance keeps the log from a line for each outcome.
+constexpr uint16_t kFailingPermille = 250;
+constexpr uint16_t kWellPermille = 50;
+
 /// Slots of a healthy target until its first report tells them: the smaller of
 /// the usual numbers. A target queues what comes beyond its slots.
 constexpr uint32_t kAssumedSlots = 4;
@@ -198,6 +205,7 @@
       nodes_.ForgetSilent(now);
       log_.ReportLeftOut(now);
       PublishStatus(now);
+      LogOutcomes(now);
     }
     UpdateState(now);
   }
@@ -295,6 +303,21 @@
         .Field("state", InstanceStateName(forwarder_.load(now).state));
   }
 
+  void LogOutcomes(absl::Time now) {
+    const AgentLoad load = forwarder_.load(now);
+    const bool failing = failing_ ? load.failing_permille > kWellPermille
+                                  : load.failing_permille >= kFailingPermille;
+    if (failing == failing_)
+      return;
+    failing_ = failing;
+    LogLine(failing ? kTargetFailing : kTargetWell)
+        .Field("target", forwarder_.target().id())
+        .Field("failing_permille", load.failing_permille)
+        .Field("busy", load.busy)
+        .Field("slots", load.slots)
+        .Field("service_time_us", load.service_time_us);
+  }
+
   void PublishStatus(absl::Time now) {
     NodeStatus status;
     status.role = Role::kAgent;
@@ -351,6 +374,7 @@
   absl::Time last_report_ = absl::InfinitePast();
   absl::Time next_sweep_;
   absl::Time last_heard_ = absl::InfinitePast();
+  bool failing_ = false;
   bool leaving_ = false;
   absl::Time leaving_since_;
   std::atomic<bool> ready_{false};
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <utility>
 
@@ -147,7 +148,10 @@
   };
 
   void Step() {
-    WaitReadable({clients_.fd(), channel_.fd(), wakeup_.fd()}, kRound);
+    const absl::Duration wait =
+        std::min(kRound, forwarder_.next_deadline() - MonotonicNow());
+    WaitReadable({clients_.fd(), channel_.fd(), wakeup_.fd()},
+                 std::max(absl::Milliseconds(1), wait));
     const absl::Time now = MonotonicNow();
     if (now - last_round_ > kSuspendedGap)
       DiscardOld(now - last_round_);
@@ -159,6 +163,8 @@
       std::visit(MessageHandler{*this, source, now}, message);
     });
     ReceiveFromClients(now);
+    forwarder_.Tick(now, actions_);
+    Execute(now);
     SendReports(now);
     if (now >= next_sweep_)
       Sweep(now);
--- a/lib/node/node_status.cc
+++ b/lib/node/node_status.cc
@@ -19,7 +19,8 @@
           {"slots", load.slots},
           {"busy", load.busy},
           {"open_flows", load.open_flows},
-          {"service_time_us", load.service_time_us}};
+          {"service_time_us", load.service_time_us},
+          {"failing_permille", load.failing_permille}};
 }
 
 json AgentJson(const AgentView& agent, absl::Time now) {
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -60,6 +60,11 @@
   CPPUNIT_TEST(OlderConfigurationIsIgnored);
   CPPUNIT_TEST(WithoutConfigurationNothingIsSaid);
   CPPUNIT_TEST(CopyLeavesASilentAgent);
+  CPPUNIT_TEST(OpeningWithoutAnAnswerGoesElsewhereBeforeItsCopy);
+  CPPUNIT_TEST(AgentThatAnswersNothingGetsNoFlow);
+  CPPUNIT_TEST(AnsweredOpeningsArePlacedOnce);
+  CPPUNIT_TEST(ClientWithoutASlotInTimeIsRefused);
+  CPPUNIT_TEST(FlowOfAnotherAgentIsNotRefused);
   CPPUNIT_TEST(RefusedAtOnceWhenNobodyAccepts);
   CPPUNIT_TEST_SUITE_END();
 
@@ -213,6 +218,93 @@
     CPPUNIT_ASSERT(actions_.to_agents.at(0).agent != first);
   }
 
+  // Pattern: an agent dies between two of its reports. Guards against callers
+  // that wait for their own copy, after 200 ms.
+  void OpeningWithoutAnAnswerGoesElsewhereBeforeItsCopy() {
+    const FlowPackets flow;
+    Client(flow.Opening());
+    const Endpoint first = actions_.to_agents.at(0).agent;
+    CPPUNIT_ASSERT(entry_.next_deadline() < now_ + absl::Milliseconds(100));
+    Pass(entry_.next_deadline() - now_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_agents.size());
+    CPPUNIT_ASSERT(actions_.to_agents[0].agent != first);
+    CPPUNIT_ASSERT(actions_.to_agents[0].message.packet == kPacketBytes);
+    // The last agent takes it in any case, and it goes no further.
+    for (int i = 0; i < 3; ++i)
+      Pass(absl::Milliseconds(100));
+    CPPUNIT_ASSERT(actions_.to_agents.empty());
+    CPPUNIT_ASSERT(entry_.next_deadline() == absl::InfiniteFuture());
+  }
+
+  // Guards against new callers for an agent that is known to be silent.
+  void AgentThatAnswersNothingGetsNoFlow() {
+    const FlowPackets flow(1);
+    Client(flow.Opening());
+    const Endpoint silent = actions_.to_agents.at(0).agent;
+    AgentView* agent = entry_.agents().Find(InstanceUid{UidAt(silent)});
+    NoteUnanswered(*agent, now_);
+    CPPUNIT_ASSERT(IsHeard(*agent, now_));
+    NoteUnanswered(*agent, now_);
+    CPPUNIT_ASSERT(!IsHeard(*agent, now_));
+    CPPUNIT_ASSERT(!entry_.agents().IsComplete(kService, now_));
+    Report(UidAt(silent), 0);
+    CPPUNIT_ASSERT(IsHeard(*agent, now_));
+    // An answer that came after the packet was sent is no silence.
+    NoteUnanswered(*agent, now_ - absl::Milliseconds(1));
+    NoteUnanswered(*agent, now_ - absl::Milliseconds(1));
+    CPPUNIT_ASSERT(IsHeard(*agent, now_));
+  }
+
+  // Guards against flows that open at two targets while all agents answer.
+  void AnsweredOpeningsArePlacedOnce() {
+    const FlowPackets placed(1);
+    const FlowPackets passed_on(2);
+    Client(placed.Opening());
+    Placed(UidAt(actions_.to_agents.at(0).agent), placed);
+    Client(passed_on.Opening());
+    Return(UidAt(actions_.to_agents.at(0).agent), passed_on.Opening(),
+           ReturnReason::kBusy, ForwardMode::kOpening);
+    Placed(UidAt(actions_.to_agents.at(0).agent), passed_on);
+    CPPUNIT_ASSERT(entry_.next_deadline() == absl::InfiniteFuture());
+    Pass(absl::Milliseconds(500));
+    CPPUNIT_ASSERT(actions_.to_agents.empty());
+  }
+
+  void ClientWithoutASlotInTimeIsRefused() {
+    const FlowPackets flow;
+    Client(flow.Opening());
+    const uint64_t uid = UidAt(actions_.to_agents.at(0).agent);
+    Placed(uid, flow);
+    Return(uid, flow.Opening(), ReturnReason::kNoSlotInTime,
+           ForwardMode::kOpening);
+    CPPUNIT_ASSERT(actions_.to_agents.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
+    CPPUNIT_ASSERT(actions_.resets[0].flow == flow.flow());
+  }
+
+  // Pattern: an agent stands still for a while, its callers go elsewhere, and
+  // it gives their packets back later. Guards against a reset of a flow that is
+  // open at another target.
+  void FlowOfAnotherAgentIsNotRefused() {
+    const FlowPackets flow;
+    Client(flow.Opening());
+    const uint64_t slow = UidAt(actions_.to_agents.at(0).agent);
+    Pass(absl::Milliseconds(100));
+    const uint64_t other = UidAt(actions_.to_agents.at(0).agent);
+    CPPUNIT_ASSERT(other != slow);
+    Placed(other, flow);
+    for (const ReturnReason reason :
+         {ReturnReason::kNoSlotInTime, ReturnReason::kTargetRefused,
+          ReturnReason::kBusy}) {
+      Return(slow, flow.Opening(), reason, ForwardMode::kOpening,
+             {InstanceUid{8}, InstanceUid{9}, InstanceUid{10}});
+      CPPUNIT_ASSERT(actions_.resets.empty());
+      CPPUNIT_ASSERT(actions_.to_agents.empty());
+    }
+    Client(flow.Request());
+    CPPUNIT_ASSERT_EQUAL(other, UidAt(actions_.to_agents.at(0).agent));
+  }
+
   void RefusedAtOnceWhenNobodyAccepts() {
     Age(absl::Seconds(3));
     for (uint64_t uid = 1; uid <= 3; ++uid) {
@@ -242,6 +334,13 @@
       Report(uid, 0);
   }
 
+  /// Lets time pass without any message.
+  void Pass(absl::Duration time) {
+    now_ += time;
+    actions_.Clear();
+    entry_.Tick(now_, actions_);
+  }
+
   void Client(const PacketHeader& header) {
     actions_.Clear();
     entry_.OnClientPacket(header, kPacketBytes, now_, actions_);
@@ -280,6 +379,9 @@
   CPPUNIT_TEST_SUITE(PlacementByLoadTest);
   CPPUNIT_TEST(OwnDataCentreIsPreferredWhileItHasSlots);
   CPPUNIT_TEST(SlowTargetIsPassedOver);
+  CPPUNIT_TEST(FailingTargetIsPassedOver);
+  CPPUNIT_TEST(ShareThatAllTargetsShowDoesNotCount);
+  CPPUNIT_TEST(ServiceStaysUpWhenAllTargetsLookBad);
   CPPUNIT_TEST(UnreportedFlowsCount);
   CPPUNIT_TEST(SilentAndDrainingAgentsGetNothing);
   CPPUNIT_TEST(RareReportsAreNotTakenForSilence);
@@ -306,6 +408,47 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Place());
   }
 
+  // Pattern: one target fails two of five requests at once, so that it looks
+  // idle and fast. Guards against a share of the callers that grows with the
+  // failures.
+  void FailingTargetIsPassedOver() {
+    AgentLoad failing = Load(0, 3'000);
+    failing.failing_permille = 400;
+    directory_.Update(Identity(1), failing, EndpointOf(1), kStart);
+    for (uint64_t uid : {2, 3}) {
+      directory_.Update(Identity(uid), Load(8, 25'000), EndpointOf(uid),
+                        kStart);
+    }
+    CPPUNIT_ASSERT(Place() != 1);
+    for (uint64_t uid : {2, 3}) {
+      directory_.Update(Identity(uid), Load(40, 25'000), EndpointOf(uid),
+                        kStart);
+    }
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Place());
+  }
+
+  // Guards against callers that crowd at one target since a share that all
+  // targets show, such as answers of very different sizes, is held against the
+  // others.
+  void ShareThatAllTargetsShowDoesNotCount() {
+    for (uint64_t uid : {1, 2, 3}) {
+      AgentLoad load = Load(static_cast<uint16_t>(4 * uid));
+      load.failing_permille = static_cast<uint16_t>(400 + 30 * (3 - uid));
+      directory_.Update(Identity(uid), load, EndpointOf(uid), kStart);
+    }
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Place());
+  }
+
+  // Guards against a service without targets since all of them look bad.
+  void ServiceStaysUpWhenAllTargetsLookBad() {
+    AgentLoad failing = Load(1);
+    failing.failing_permille = 1000;
+    directory_.Update(Identity(1), failing, EndpointOf(1), kStart);
+    failing.busy = 3;
+    directory_.Update(Identity(2), failing, EndpointOf(2), kStart);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Place());
+  }
+
   // Guards against a crowd at the agent whose report is the oldest.
   void UnreportedFlowsCount() {
     directory_.Update(Identity(1), Load(0), EndpointOf(1), kStart);
--- /dev/null
+++ b/unittests/forwarding/outcome_test.cc
@@ -0,0 +1,118 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+#include "packets.h"
+#include "skylarkshunt/forwarding/outcome_model.h"
+
+namespace skylarkshunt {
+namespace {
+
+const Endpoint kAddress{0xc6120001, 443};
+constexpr uint32_t kWholeAnswer = 1'100;
+constexpr uint32_t kErrorAnswer = 130;
+/// Share above which placement takes a target for a failing one.
+constexpr uint16_t kNoticed = 100;
+
+class OutcomeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OutcomeTest);
+  CPPUNIT_TEST(ErrorsAreToldByTheirSize);
+  CPPUNIT_TEST(AnswersOfManySizesAreNoFailures);
+  CPPUNIT_TEST(LastingErrorsStayErrors);
+  CPPUNIT_TEST(OneFailureIsNoPattern);
+  CPPUNIT_TEST(ResetsAndSilenceCount);
+  CPPUNIT_TEST(FailingTargetIsTriedAgain);
+  CPPUNIT_TEST(SizesOutliveARestart);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Pattern: a target answers its status check and fails two of five requests
+  // with short errors. Guards against callers that are sent there as before.
+  void ErrorsAreToldByTheirSize() {
+    Answer(100, kWholeAnswer);
+    CPPUNIT_ASSERT_EQUAL(uint16_t{0}, model_.failing_permille(now_));
+    for (int i = 0; i < 4; ++i) {
+      Answer(3, kWholeAnswer);
+      Answer(2, kErrorAnswer);
+    }
+    CPPUNIT_ASSERT(model_.failing_permille(now_) > 250);
+    Answer(40, kWholeAnswer);
+    CPPUNIT_ASSERT(model_.failing_permille(now_) < kNoticed);
+  }
+
+  // Guards against targets that look bad since the answers for one address
+  // differ in size; these spread as those of the deployments do.
+  void AnswersOfManySizesAreNoFailures() {
+    std::mt19937 random(1);
+    std::lognormal_distribution<double> size(6.8, 0.45);
+    for (int i = 0; i < 2'000; ++i) {
+      Answer(1, 214 + static_cast<uint32_t>(size(random)));
+      CPPUNIT_ASSERT(model_.failing_permille(now_) <= kNoticed);
+    }
+  }
+
+  // Guards against a fault that becomes the measure of itself.
+  void LastingErrorsStayErrors() {
+    Answer(60, kWholeAnswer);
+    for (int i = 0; i < 200; ++i) {
+      Answer(3, kWholeAnswer);
+      Answer(2, kErrorAnswer);
+    }
+    CPPUNIT_ASSERT(model_.failing_permille(now_) > 250);
+  }
+
+  void OneFailureIsNoPattern() {
+    model_.RecordFailure(now_);
+    CPPUNIT_ASSERT_EQUAL(uint16_t{0}, model_.failing_permille(now_));
+    Answer(50, kWholeAnswer);
+    model_.RecordFailure(now_);
+    Answer(3, kWholeAnswer);
+    CPPUNIT_ASSERT(model_.failing_permille(now_) < kNoticed);
+  }
+
+  void ResetsAndSilenceCount() {
+    Answer(50, kWholeAnswer);
+    for (int i = 0; i < 10; ++i)
+      model_.RecordFailure(now_);
+    CPPUNIT_ASSERT(model_.failing_permille(now_) > 500);
+  }
+
+  // Guards against a target that failed for a while and gets no request ever
+  // after.
+  void FailingTargetIsTriedAgain() {
+    Answer(50, kWholeAnswer);
+    for (int i = 0; i < 10; ++i)
+      model_.RecordFailure(now_);
+    now_ += absl::Seconds(5);
+    CPPUNIT_ASSERT(model_.failing_permille(now_) < kNoticed);
+    // One more failure is enough to know it again.
+    model_.RecordFailure(now_);
+    CPPUNIT_ASSERT(model_.failing_permille(now_) > kNoticed);
+  }
+
+  // Guards against a target that fails from its restart on and is taken as the
+  // measure of itself.
+  void SizesOutliveARestart() {
+    Answer(20, kWholeAnswer);
+    model_.Reset();
+    Answer(1, kWholeAnswer);
+    Answer(8, kErrorAnswer);
+    CPPUNIT_ASSERT(model_.failing_permille(now_) > kNoticed);
+  }
+
+ private:
+  void Answer(int times, uint32_t bytes) {
+    for (int i = 0; i < times; ++i) {
+      now_ += absl::Milliseconds(10);
+      model_.RecordAnswer(kAddress, bytes, now_);
+    }
+  }
+
+  OutcomeModel model_;
+  absl::Time now_ = kStart;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OutcomeTest);
+
+}  // namespace
+}  // namespace skylarkshunt
