Refuse a client without a slot in sight after a third of its deadline; one frame for both data loops

Change: a waiting opening is kept beyond an equal share of its request's deadline (less the objective, for three attempts) only while a slot is expected in time. EntryLoop and AgentLoop share NodeLoop for thread, commands, suspension, status and end; behaviour is the same.

--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -92,6 +92,10 @@
   /// Time from the first copy of an opening packet within which its answer is
   /// worth most, in milliseconds.
   uint32_t objective_ms = 0;
+  /// Time from the first copy of an opening packet after which its client is
+  /// better off with another attempt, unless a slot is in sight; the maximum if
+  /// never. In milliseconds.
+  uint32_t attempt_ms = 0;
   /// The agent declines an opening packet that would wait longer for a slot, in
   /// microseconds; the maximum means that it takes the packet in any case.
   uint32_t wait_limit_us = 0;
--- a/include/skylarkshunt/forwarding/opening_queue.h
+++ b/include/skylarkshunt/forwarding/opening_queue.h
@@ -22,6 +22,10 @@
   uint8_t priority = 0;
   /// An answer after this time is worth much less to the caller.
   absl::Time objective;
+  /// From here on it is kept only while a slot is expected in time. Refused in
+  /// time, its client has an equal share of the request's deadline for each
+  /// attempt; refused earlier, it would ask again while targets are still full.
+  absl::Time judged_from = absl::InfiniteFuture();
   /// The client stops waiting for an answer to its opening packet.
   absl::Time gives_up;
   std::vector<InstanceUid> declined;
@@ -44,7 +48,7 @@
   absl::optional<WaitingOpening> Pop(absl::Time now,
                                      absl::Duration answer_time);
   /// Removes those that get no slot before their client gives up: those whose
-  /// client does so within kRefusalMargin, and those within kJudgedBefore whose
+  /// client does so within kRefusalMargin, and those past `judged_from` whose
   /// turn comes later at the rate at which late ones got slots lately.
   /// `slot_interval` is the time between two free slots of the target.
   std::vector<WaitingOpening> TakeHopeless(absl::Time now,
@@ -64,11 +68,6 @@
   /// A waiting opening packet is refused this much before its client gives up,
   /// so that the reset reaches it in time.
   static constexpr absl::Duration kRefusalMargin = absl::Milliseconds(60);
-  /// From this time before its client gives up on, a packet is kept only while
-  /// a slot is expected in time. A client that is refused then has time for
-  /// another attempt; one that is refused earlier would ask again while the
-  /// targets are still full.
-  static constexpr absl::Duration kJudgedBefore = absl::Milliseconds(400);
 
  private:
   /// Share of the slots that went to late ones while some waited.
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -139,6 +139,8 @@
   opening.priority = forwarded.priority;
   opening.objective =
       now - header.opening_age + absl::Milliseconds(forwarded.objective_ms);
+  opening.judged_from =
+      now - header.opening_age + absl::Milliseconds(forwarded.attempt_ms);
   opening.gives_up = now + header.opening_time_left;
   opening.declined = forwarded.declined;
   opening.packet.assign(forwarded.packet.begin(), forwarded.packet.end());
@@ -215,8 +217,10 @@
   delivery.flow = opening.flow;
   delivery.entry = opening.entry;
   delivery.declined = opening.declined;
+  const absl::Duration time_left = opening.gives_up - now;
   served_.push_back(std::move(opening));
   GiveBack(delivery, reason, served_.back().packet, now, actions);
+  actions.decisions.back().time = time_left;
 }
 
 absl::Duration AgentForwarder::ServiceTime(absl::Time now) const {
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -36,6 +36,9 @@
 /// Most opening packets that are kept until their agent answers. Beyond it the
 /// client's copies serve.
 constexpr size_t kMaxUnanswered = 4'096;
+/// Attempts that a client makes within a request's deadline: the first one and
+/// the two retries of the deployments.
+constexpr int kAttempts = 3;
 constexpr uint32_t kNoLimit = std::numeric_limits<uint32_t>::max();
 
 constexpr absl::string_view kLeastExpectedTime = "least_expected_time";
@@ -46,13 +49,20 @@
   message.wait_limit_us = kNoLimit;
 }
 
+uint32_t ToMilliseconds(absl::Duration time) {
+  return static_cast<uint32_t>(std::min<int64_t>(
+      absl::ToInt64Milliseconds(time), std::numeric_limits<uint32_t>::max()));
+}
+
 void DescribeRequest(const Route& route, ForwardedPacket& message) {
   message.kind = route.kind;
   message.priority = static_cast<uint8_t>(
       std::min<uint32_t>(route.priority, std::numeric_limits<uint8_t>::max()));
-  message.objective_ms = static_cast<uint32_t>(
-      std::min<int64_t>(absl::ToInt64Milliseconds(route.latency_objective),
-                        std::numeric_limits<uint32_t>::max()));
+  message.objective_ms = ToMilliseconds(route.latency_objective);
+  // The last attempt needs the time of an answer.
+  const absl::Duration answer =
+      std::min(route.latency_objective, route.deadline / kAttempts);
+  message.attempt_ms = ToMilliseconds((route.deadline - answer) / kAttempts);
 }
 
 bool IsForced(const ReturnedPacket& returned) {
--- a/lib/forwarding/node_codec.cc
+++ b/lib/forwarding/node_codec.cc
@@ -190,6 +190,7 @@
     writer.Choice(forwarded.kind);
     writer.Number(forwarded.priority);
     writer.Number(forwarded.objective_ms);
+    writer.Number(forwarded.attempt_ms);
     writer.Number(forwarded.wait_limit_us);
     WriteDeclined(writer, forwarded.declined);
     writer.Bytes(forwarded.packet);
@@ -251,6 +252,7 @@
   forwarded.kind = reader.Choice(RequestKind::kDownload);
   forwarded.priority = reader.Number<uint8_t>();
   forwarded.objective_ms = reader.Number<uint32_t>();
+  forwarded.attempt_ms = reader.Number<uint32_t>();
   forwarded.wait_limit_us = reader.Number<uint32_t>();
   forwarded.declined = ReadDeclined(reader);
   forwarded.packet = reader.Rest();
--- a/lib/forwarding/opening_queue.cc
+++ b/lib/forwarding/opening_queue.cc
@@ -78,7 +78,7 @@
   std::vector<WaitingOpening> hopeless;
   const bool any_judged = std::any_of(
       waiting_.begin(), waiting_.end(), [now](const WaitingOpening& o) {
-        return o.gives_up - now <= kJudgedBefore;
+        return std::min(o.judged_from, o.gives_up - kRefusalMargin) <= now;
       });
   if (!any_judged)
     return hopeless;
@@ -91,7 +91,7 @@
   std::vector<WaitingOpening> kept;
   for (WaitingOpening& opening : waiting_) {
     const absl::Duration left = opening.gives_up - now - kRefusalMargin;
-    const bool judged = left <= kJudgedBefore - kRefusalMargin;
+    const bool judged = opening.judged_from <= now;
     // Those before it in the order have the same claim.
     const absl::Duration turn = static_cast<double>(kept.size()) * interval;
     const bool lost = left <= absl::ZeroDuration() || (judged && turn > left);
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -1,19 +1,13 @@
 #include <algorithm>
-#include <atomic>
 #include <utility>
 
-#include "data_loop.h"
-#include "decision_log.h"
-#include "node_channel.h"
-#include "skylarkshunt/base/bounded_ring.h"
+#include "node_loop.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/base/hash.h"
 #include "skylarkshunt/forwarding/agent_directory.h"
 #include "skylarkshunt/forwarding/agent_forwarder.h"
 #include "skylarkshunt/forwarding/node_codec.h"
 #include "skylarkshunt/forwarding/node_directory.h"
-#include "skylarkshunt/net/loop_thread.h"
-#include "skylarkshunt/net/poller.h"
 
 namespace skylarkshunt {
 namespace {
@@ -31,9 +25,6 @@
 /// An agent that ends keeps forwarding for this long at least, so that its last
 /// reports reach the entries and their packets in flight arrive.
 constexpr absl::Duration kLeaveAtLeast = absl::Milliseconds(150);
-/// Time kept free before the process is killed.
-constexpr absl::Duration kLeaveMargin = absl::Seconds(1);
-
 /// Failing shares at which a target is reported as failing, and as well again;
 /// thousandths. Their distance keeps the log from a line for each outcome.
 constexpr uint16_t kFailingPermille = 250;
@@ -43,24 +34,17 @@
 /// the usual numbers. A target queues what comes beyond its slots.
 constexpr uint32_t kAssumedSlots = 4;
 
-class AgentLoop : public DataLoop {
+class AgentLoop : public NodeLoop {
  public:
   AgentLoop(const Options& options,
             UdpSocket target,
             UdpSocket peers,
             Wakeup wakeup)
-      : options_(options),
-        target_(std::move(target)),
-        channel_(std::move(peers), options.node.peers.port, *options.counters),
-        wakeup_(std::move(wakeup)),
-        log_(*options.counters, *options.history),
-        malformed_(options.counters->Find(
-            "skylarkshunt_packets_malformed_total",
-            "Packets of clients or targets that were refused.")),
-        packets_(options.counters->Find("skylarkshunt_packets_total",
-                                        "Packets of clients or targets.")),
-        commands_(kMaxDataCommands, [this] { wakeup_.Notify(); }),
-        started_(MonotonicNow()),
+      : NodeLoop(options,
+                 std::move(target),
+                 std::move(peers),
+                 std::move(wakeup),
+                 kSuspended),
         identity_(MakeIdentity(options)),
         forwarder_({identity_, options.node.service,
                     options.node.target_report_interval},
@@ -69,21 +53,10 @@
                options.node.peers.address,
                kAgentReportInterval,
                options.node.seeds,
-               started_),
-        last_round_(started_),
-        next_sweep_(started_),
-        thread_(wakeup_) {}
-
-  void Start() override {
-    thread_.Start([this] { Step(); });
-  }
-  void Stop() override { thread_.Stop(); }
-  bool Command(DataCommand command) override {
-    return commands_.TryPush(std::move(command));
-  }
-  bool is_ready() const override { return ready_.load(); }
-  bool is_connected() const override { return connected_.load(); }
-  bool ended() const override { return ended_.load(); }
+               started_) {}
+  AgentLoop(const AgentLoop&) = delete;
+  AgentLoop& operator=(const AgentLoop&) = delete;
+  ~AgentLoop() override { Stop(); }
 
  private:
   struct CommandHandler {
@@ -130,10 +103,8 @@
       loop.Execute(now);
     }
     void operator()(const BeginShutdownCommand&) const {
-      if (loop.leaving_)
+      if (!loop.BeginLeaving(now))
         return;
-      loop.leaving_ = true;
-      loop.leaving_since_ = now;
       loop.forwarder_.BeginShutdown();
       loop.nodes_.MakeAllDue();
     }
@@ -145,7 +116,7 @@
     absl::Time now;
 
     void operator()(const EntryReport& report) const {
-      loop.last_heard_ = now;
+      loop.NoteHeard(now);
       loop.nodes_.Heard({source.address, Role::kEntry}, now);
       for (const NodeAddress& node : report.nodes)
         loop.nodes_.Learn(node, now);
@@ -153,13 +124,11 @@
         loop.options_.notices.on_revision(source.address, report.configuration);
     }
     void operator()(const ForwardedPacket& forwarded) const {
-      const Result<PacketHeader> header =
-          loop.options_.packets->Read(forwarded.packet);
-      if (!header.has_value()) {
-        loop.malformed_.Increment();
+      const absl::optional<PacketHeader> header =
+          loop.ReadPacket(forwarded.packet);
+      if (!header.has_value())
         return;
-      }
-      loop.forwarder_.OnForwarded(forwarded, header.value(), source, now,
+      loop.forwarder_.OnForwarded(forwarded, *header, source, now,
                                   loop.actions_);
       loop.Execute(now);
     }
@@ -180,51 +149,34 @@
     return identity;
   }
 
-  void Step() {
-    const absl::Time before = MonotonicNow();
-    const absl::Time due = std::min(forwarder_.next_deadline(before),
-                                    last_report_ + kAgentReportInterval);
-    WaitReadable({target_.fd(), channel_.fd(), wakeup_.fd()},
-                 std::max(absl::Milliseconds(1), due - before));
-    const absl::Time now = MonotonicNow();
-    if (now - last_round_ > kSuspendedGap)
-      DiscardOld(now - last_round_);
-    last_round_ = now;
-    wakeup_.Drain();
-    while (absl::optional<DataCommand> command = commands_.TryPop())
-      std::visit(CommandHandler{*this, now}, *command);
-    ReceiveFromTarget(now);
+  absl::Time NextDeadline(absl::Time now) override {
+    return std::min(forwarder_.next_deadline(now),
+                    last_report_ + kAgentReportInterval);
+  }
+
+  void Take(const DataCommand& command, absl::Time now) override {
+    std::visit(CommandHandler{*this, now}, command);
+  }
+
+  void Round(absl::Time now) override {
+    // Packets of the target first: they free slots for those of clients.
+    ReceivePackets([this, now](const PacketHeader& header,
+                               absl::Span<const uint8_t> packet) {
+      forwarder_.OnTargetPacket(header, packet, now, actions_);
+      Execute(now);
+    });
     channel_.Receive([this, now](Endpoint source, const NodeMessage& message) {
       std::visit(MessageHandler{*this, source, now}, message);
     });
     forwarder_.Tick(now, actions_);
     Execute(now);
     SendReports(now);
-    if (now >= next_sweep_) {
-      next_sweep_ = now + absl::Seconds(1);
-      nodes_.ForgetSilent(now);
-      log_.ReportLeftOut(now);
-      PublishStatus(now);
-      LogOutcomes(now);
-    }
-    UpdateState(now);
   }
 
-  void ReceiveFromTarget(absl::Time now) {
-    for (int i = 0; i < kDatagramBatch; ++i) {
-      const absl::optional<Datagram> datagram = target_.Receive();
-      if (!datagram.has_value())
-        return;
-      const Result<PacketHeader> header =
-          options_.packets->Read(datagram->bytes);
-      if (!header.has_value()) {
-        malformed_.Increment();
-        continue;
-      }
-      packets_.Increment();
-      forwarder_.OnTargetPacket(header.value(), datagram->bytes, now, actions_);
-      Execute(now);
-    }
+  void Sweep(absl::Time now) override {
+    nodes_.ForgetSilent(now);
+    PublishStatus(now);
+    LogOutcomes(now);
   }
 
   void Execute(absl::Time now) {
@@ -232,7 +184,7 @@
       packet_.assign(action.packet.begin(), action.packet.end());
       options_.packets->SetReturnToken(absl::MakeSpan(packet_),
                                        action.return_token);
-      target_.Send(options_.node.target, packet_);
+      packets_.Send(options_.node.target, packet_);
     }
     for (const AgentActions::ToClient& action : actions_.to_clients) {
       channel_.SendRaw({action.client_address, options_.node.client_port},
@@ -246,8 +198,7 @@
       channel_.SendRaw({reset.flow.client.address, options_.node.client_port},
                        options_.packets->MakeReset(reset.flow, reset.sequence));
     }
-    for (const Decision& decision : actions_.decisions)
-      log_.Record(now, decision);
+    LogDecisions(actions_.decisions, now);
     if (actions_.probe_target)
       options_.notices.on_target_doubtful();
     actions_.Clear();
@@ -321,7 +272,7 @@
   void PublishStatus(absl::Time now) {
     NodeStatus status;
     status.role = Role::kAgent;
-    status.ready = ready_.load();
+    status.ready = is_ready();
     status.leaving = leaving_;
     status.configuration = configuration_;
     status.nodes = nodes_.Present(now, kMaxReportedNodes);
@@ -331,56 +282,24 @@
     options_.board->Publish(std::move(status));
   }
 
-  void DiscardOld(absl::Duration gap) {
-    size_t dropped = channel_.Discard();
-    while (target_.Receive().has_value())
-      ++dropped;
-    LogLine(kSuspended, Severity::kWarning)
-        .Field("gap_ms", absl::ToInt64Milliseconds(gap))
-        .Field("datagrams_dropped", dropped);
+  bool IsReady(absl::Time now) override {
+    return forwarder_.load(now).accepts_flows();
   }
 
-  void UpdateState(absl::Time now) {
-    connected_.store(now - last_heard_ < kNodePresentFor);
-    ready_.store(forwarder_.load(now).accepts_flows());
-    if (!leaving_)
-      return;
-    const absl::Duration leaving = now - leaving_since_;
-    const bool done = forwarder_.is_idle() || forwarder_.is_target_gone(now);
-    if ((done && leaving >= kLeaveAtLeast) ||
-        leaving >= options_.node.shutdown_limit - kLeaveMargin) {
-      ended_.store(true);
-    }
+  bool IsEndComplete(absl::Duration leaving, absl::Time now) override {
+    return leaving >= kLeaveAtLeast &&
+           (forwarder_.is_idle() || forwarder_.is_target_gone(now));
   }
 
-  const Options options_;
-  UdpSocket target_;
-  NodeChannel channel_;
-  Wakeup wakeup_;
-  DecisionLog log_;
-  Counter& malformed_;
-  Counter& packets_;
-  BoundedRing<DataCommand> commands_;
-  const absl::Time started_;
   const AgentIdentity identity_;
   AgentForwarder forwarder_;
   NodeDirectory nodes_;
   AgentActions actions_;
   std::vector<uint8_t> packet_;
-  std::vector<uint32_t> due_;
   Revision configuration_{};
   uint64_t sequence_ = 0;
-  absl::Time last_round_;
   absl::Time last_report_ = absl::InfinitePast();
-  absl::Time next_sweep_;
-  absl::Time last_heard_ = absl::InfinitePast();
   bool failing_ = false;
-  bool leaving_ = false;
-  absl::Time leaving_since_;
-  std::atomic<bool> ready_{false};
-  std::atomic<bool> connected_{false};
-  std::atomic<bool> ended_{false};
-  LoopThread thread_;
 };
 
 }  // namespace
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -1,18 +1,11 @@
-#include <algorithm>
-#include <atomic>
 #include <utility>
 
-#include "data_loop.h"
-#include "decision_log.h"
-#include "node_channel.h"
-#include "skylarkshunt/base/bounded_ring.h"
+#include "node_loop.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/base/hash.h"
 #include "skylarkshunt/forwarding/entry_forwarder.h"
 #include "skylarkshunt/forwarding/node_codec.h"
 #include "skylarkshunt/forwarding/node_directory.h"
-#include "skylarkshunt/net/loop_thread.h"
-#include "skylarkshunt/net/poller.h"
 
 namespace skylarkshunt {
 namespace {
@@ -26,9 +19,6 @@
 
 /// Time between two reports of an entry to a node that is present.
 constexpr absl::Duration kEntryReportInterval = absl::Milliseconds(500);
-/// Longest wait of a round.
-constexpr absl::Duration kRound = absl::Milliseconds(100);
-constexpr absl::Duration kSweepInterval = absl::Seconds(1);
 /// An entry without any agent says that it is ready after this time, since it
 /// can then refuse at once.
 constexpr absl::Duration kReadyWithoutAgents = absl::Seconds(2);
@@ -38,27 +28,18 @@
 /// An entry stays for this long after SIGTERM at least, until the routers have
 /// noticed.
 constexpr absl::Duration kLeaveAtLeast = absl::Milliseconds(1700);
-/// Time kept free before the process is killed.
-constexpr absl::Duration kLeaveMargin = absl::Seconds(1);
 
-class EntryLoop : public DataLoop {
+class EntryLoop : public NodeLoop {
  public:
   EntryLoop(const Options& options,
             UdpSocket clients,
             UdpSocket peers,
             Wakeup wakeup)
-      : options_(options),
-        clients_(std::move(clients)),
-        channel_(std::move(peers), options.node.peers.port, *options.counters),
-        wakeup_(std::move(wakeup)),
-        log_(*options.counters, *options.history),
-        malformed_(options.counters->Find(
-            "skylarkshunt_packets_malformed_total",
-            "Packets of clients or targets that were refused.")),
-        packets_(options.counters->Find("skylarkshunt_packets_total",
-                                        "Packets of clients or targets.")),
-        commands_(kMaxDataCommands, [this] { wakeup_.Notify(); }),
-        started_(MonotonicNow()),
+      : NodeLoop(options,
+                 std::move(clients),
+                 std::move(peers),
+                 std::move(wakeup),
+                 kSuspended),
         forwarder_(
             static_cast<uint32_t>(StableHash(options.node.data_centre, 0)),
             started_),
@@ -66,24 +47,13 @@
                options.node.peers.address,
                kEntryReportInterval,
                options.node.seeds,
-               started_),
-        last_round_(started_),
-        next_sweep_(started_),
-        thread_(wakeup_) {
+               started_) {
     self_.uid = MakeEntryUid(options.node.data.ToString());
     self_.incarnation = options.incarnation;
   }
-
-  void Start() override {
-    thread_.Start([this] { Step(); });
-  }
-  void Stop() override { thread_.Stop(); }
-  bool Command(DataCommand command) override {
-    return commands_.TryPush(std::move(command));
-  }
-  bool is_ready() const override { return ready_.load(); }
-  bool is_connected() const override { return connected_.load(); }
-  bool ended() const override { return ended_.load(); }
+  EntryLoop(const EntryLoop&) = delete;
+  EntryLoop& operator=(const EntryLoop&) = delete;
+  ~EntryLoop() override { Stop(); }
 
  private:
   struct CommandHandler {
@@ -99,10 +69,9 @@
       loop.nodes_.Learn(node, now);
     }
     void operator()(const BeginShutdownCommand&) const {
-      if (loop.self_.leaving)
+      if (!loop.BeginLeaving(now))
         return;
       loop.self_.leaving = true;
-      loop.leaving_since_ = now;
       loop.nodes_.MakeAllDue();
     }
     // An entry has no target.
@@ -117,28 +86,25 @@
     absl::Time now;
 
     void operator()(const AgentReport& report) const {
-      loop.NoteHeard({source.address, Role::kAgent}, now);
+      loop.NoteNode({source.address, Role::kAgent}, now);
       const AgentNews news =
           loop.forwarder_.agents().UpdateFromReport(report, source, now);
       loop.LogNews(news, report.agent, report.load, source);
       loop.NoteRevision(source.address, report.configuration);
     }
     void operator()(const EntryReport& report) const {
-      loop.NoteHeard({source.address, Role::kEntry}, now);
+      loop.NoteNode({source.address, Role::kEntry}, now);
       for (const NodeAddress& node : report.nodes)
         loop.nodes_.Learn(node, now);
       loop.NoteRevision(source.address, report.configuration);
     }
     void operator()(const ForwardedPacket&) const {}
     void operator()(const ReturnedPacket& returned) const {
-      const Result<PacketHeader> header =
-          loop.options_.packets->Read(returned.packet);
-      if (!header.has_value()) {
-        loop.malformed_.Increment();
+      const absl::optional<PacketHeader> header =
+          loop.ReadPacket(returned.packet);
+      if (!header.has_value())
         return;
-      }
-      loop.forwarder_.OnReturned(returned, header.value(), source, now,
-                                 loop.actions_);
+      loop.forwarder_.OnReturned(returned, *header, source, now, loop.actions_);
       loop.Execute(now);
     }
     void operator()(const FlowPlaced& placed) const {
@@ -147,63 +113,43 @@
     }
   };
 
-  void Step() {
-    const absl::Duration wait =
-        std::min(kRound, forwarder_.next_deadline() - MonotonicNow());
-    WaitReadable({clients_.fd(), channel_.fd(), wakeup_.fd()},
-                 std::max(absl::Milliseconds(1), wait));
-    const absl::Time now = MonotonicNow();
-    if (now - last_round_ > kSuspendedGap)
-      DiscardOld(now - last_round_);
-    last_round_ = now;
-    wakeup_.Drain();
-    while (absl::optional<DataCommand> command = commands_.TryPop())
-      std::visit(CommandHandler{*this, now}, *command);
+  absl::Time NextDeadline(absl::Time /*now*/) override {
+    return forwarder_.next_deadline();
+  }
+
+  void Take(const DataCommand& command, absl::Time now) override {
+    std::visit(CommandHandler{*this, now}, command);
+  }
+
+  void Round(absl::Time now) override {
     channel_.Receive([this, now](Endpoint source, const NodeMessage& message) {
       std::visit(MessageHandler{*this, source, now}, message);
     });
-    ReceiveFromClients(now);
+    ReceivePackets([this, now](const PacketHeader& header,
+                               absl::Span<const uint8_t> packet) {
+      last_packet_ = now;
+      forwarder_.OnClientPacket(header, packet, now, actions_);
+      Execute(now);
+    });
     forwarder_.Tick(now, actions_);
     Execute(now);
     SendReports(now);
-    if (now >= next_sweep_)
-      Sweep(now);
-    UpdateState(now);
-  }
-
-  void ReceiveFromClients(absl::Time now) {
-    for (int i = 0; i < kDatagramBatch; ++i) {
-      const absl::optional<Datagram> datagram = clients_.Receive();
-      if (!datagram.has_value())
-        return;
-      const Result<PacketHeader> header =
-          options_.packets->Read(datagram->bytes);
-      if (!header.has_value()) {
-        malformed_.Increment();
-        continue;
-      }
-      packets_.Increment();
-      last_packet_ = now;
-      forwarder_.OnClientPacket(header.value(), datagram->bytes, now, actions_);
-      Execute(now);
-    }
   }
 
   void Execute(absl::Time now) {
     for (const EntryActions::ToAgent& action : actions_.to_agents)
       channel_.Send(action.agent, action.message);
     for (const EntryActions::ResetClient& reset : actions_.resets) {
-      clients_.Send({reset.flow.client.address, options_.node.client_port},
+      packets_.Send({reset.flow.client.address, options_.node.client_port},
                     options_.packets->MakeReset(reset.flow, reset.sequence));
     }
-    for (const Decision& decision : actions_.decisions)
-      log_.Record(now, decision);
+    LogDecisions(actions_.decisions, now);
     actions_.Clear();
   }
 
-  void NoteHeard(NodeAddress node, absl::Time now) {
+  void NoteNode(NodeAddress node, absl::Time now) {
     nodes_.Heard(node, now);
-    last_heard_ = now;
+    NoteHeard(now);
   }
 
   void NoteRevision(uint32_t address, Revision revision) {
@@ -241,11 +187,9 @@
       channel_.SendToNode(address, report);
   }
 
-  void Sweep(absl::Time now) {
-    next_sweep_ = now + kSweepInterval;
+  void Sweep(absl::Time now) override {
     forwarder_.ForgetIdle(now);
     nodes_.ForgetSilent(now);
-    log_.ReportLeftOut(now);
     PublishStatus(now);
     for (const AgentView& agent : forwarder_.agents().ForgetSilent(now)) {
       LogLine(kAgentForgotten)
@@ -258,8 +202,8 @@
   void PublishStatus(absl::Time now) {
     NodeStatus status;
     status.role = Role::kEntry;
-    status.ready = ready_.load();
-    status.leaving = self_.leaving;
+    status.ready = is_ready();
+    status.leaving = leaving_;
     status.configuration = self_.configuration;
     if (forwarder_.routes() != nullptr)
       status.configuration_version = forwarder_.routes()->version;
@@ -271,64 +215,33 @@
     options_.board->Publish(std::move(status));
   }
 
-  void DiscardOld(absl::Duration gap) {
-    size_t dropped = channel_.Discard();
-    while (clients_.Receive().has_value())
-      ++dropped;
-    LogLine(kSuspended, Severity::kWarning)
-        .Field("gap_ms", absl::ToInt64Milliseconds(gap))
-        .Field("datagrams_dropped", dropped);
-  }
-
   bool HasAgents() {
     bool any = false;
     forwarder_.agents().ForEach([&any](const AgentView&) { any = true; });
     return any;
   }
 
-  void UpdateState(absl::Time now) {
-    connected_.store(now - last_heard_ < kNodePresentFor);
-    const bool ready = !self_.leaving && forwarder_.routes() != nullptr &&
+  bool IsReady(absl::Time now) override {
+    const bool ready = !leaving_ && forwarder_.routes() != nullptr &&
                        (HasAgents() || now - started_ > kReadyWithoutAgents);
-    if (ready != ready_.load()) {
+    if (ready != is_ready()) {
       LogLine(kReady)
           .Field("ready", ready ? "true" : "false")
           .Field("configuration", ToNumber(self_.configuration))
           .Field("uptime_ms", absl::ToInt64Milliseconds(now - started_));
     }
-    ready_.store(ready);
-    if (!self_.leaving)
-      return;
-    const absl::Duration leaving = now - leaving_since_;
-    const bool quiet =
-        leaving >= kLeaveAtLeast && now - last_packet_ >= kLeaveQuiet;
-    if (quiet || leaving >= options_.node.shutdown_limit - kLeaveMargin)
-      ended_.store(true);
+    return ready;
+  }
+
+  bool IsEndComplete(absl::Duration leaving, absl::Time now) override {
+    return leaving >= kLeaveAtLeast && now - last_packet_ >= kLeaveQuiet;
   }
 
-  const Options options_;
-  UdpSocket clients_;
-  NodeChannel channel_;
-  Wakeup wakeup_;
-  DecisionLog log_;
-  Counter& malformed_;
-  Counter& packets_;
-  BoundedRing<DataCommand> commands_;
-  const absl::Time started_;
   EntryForwarder forwarder_;
   NodeDirectory nodes_;
   EntryReport self_;
   EntryActions actions_;
-  std::vector<uint32_t> due_;
-  absl::Time last_round_;
-  absl::Time next_sweep_;
-  absl::Time last_heard_ = absl::InfinitePast();
   absl::Time last_packet_ = absl::InfinitePast();
-  absl::Time leaving_since_;
-  std::atomic<bool> ready_{false};
-  std::atomic<bool> connected_{false};
-  std::atomic<bool> ended_{false};
-  LoopThread thread_;
 };
 
 }  // namespace
--- /dev/null
+++ b/lib/node/node_loop.cc
@@ -0,0 +1,125 @@
+#include "node_loop.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "skylarkshunt/forwarding/node_directory.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr absl::Duration kSweepInterval = absl::Seconds(1);
+/// Longest wait of a round. A suspension is noticed by a gap between two
+/// rounds, so that a round must not be longer than a fraction of it.
+constexpr absl::Duration kLongestRound = absl::Milliseconds(100);
+/// Shortest wait, so that a deadline in the past does not keep the processor.
+constexpr absl::Duration kShortestRound = absl::Milliseconds(1);
+/// Time kept free before the process is killed.
+constexpr absl::Duration kLeaveMargin = absl::Seconds(1);
+
+}  // namespace
+
+NodeLoop::NodeLoop(const Options& options,
+                   UdpSocket packets,
+                   UdpSocket peers,
+                   Wakeup wakeup,
+                   EventId suspended)
+    : options_(options),
+      packets_(std::move(packets)),
+      channel_(std::move(peers), options.node.peers.port, *options.counters),
+      started_(MonotonicNow()),
+      wakeup_(std::move(wakeup)),
+      suspended_(suspended),
+      log_(*options.counters, *options.history),
+      malformed_(options.counters->Find(
+          "skylarkshunt_packets_malformed_total",
+          "Packets of clients or targets that were refused.")),
+      received_(options.counters->Find("skylarkshunt_packets_total",
+                                       "Packets of clients or targets.")),
+      commands_(kMaxDataCommands, [this] { wakeup_.Notify(); }),
+      last_round_(started_),
+      next_sweep_(started_),
+      thread_(wakeup_) {}
+
+void NodeLoop::Start() {
+  thread_.Start([this] { Step(); });
+}
+
+void NodeLoop::Step() {
+  const absl::Time before = MonotonicNow();
+  const absl::Duration wait =
+      std::min(kLongestRound, NextDeadline(before) - before);
+  WaitReadable({packets_.fd(), channel_.fd(), wakeup_.fd()},
+               std::max(kShortestRound, wait));
+  const absl::Time now = MonotonicNow();
+  if (now - last_round_ > kSuspendedGap)
+    DiscardOld(now - last_round_);
+  last_round_ = now;
+  wakeup_.Drain();
+  while (absl::optional<DataCommand> command = commands_.TryPop())
+    Take(*command, now);
+  Round(now);
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepInterval;
+    log_.ReportLeftOut(now);
+    Sweep(now);
+  }
+  connected_.store(now - last_heard_ < kNodePresentFor);
+  ready_.store(IsReady(now));
+  if (!leaving_)
+    return;
+  const absl::Duration leaving = now - leaving_since_;
+  if (leaving >= options_.node.shutdown_limit - kLeaveMargin ||
+      IsEndComplete(leaving, now)) {
+    ended_.store(true);
+  }
+}
+
+void NodeLoop::ReceivePackets(
+    const std::function<void(const PacketHeader&, absl::Span<const uint8_t>)>&
+        handle) {
+  for (int i = 0; i < kDatagramBatch; ++i) {
+    const absl::optional<Datagram> datagram = packets_.Receive();
+    if (!datagram.has_value())
+      return;
+    const absl::optional<PacketHeader> header = ReadPacket(datagram->bytes);
+    if (!header.has_value())
+      continue;
+    received_.Increment();
+    handle(*header, datagram->bytes);
+  }
+}
+
+absl::optional<PacketHeader> NodeLoop::ReadPacket(
+    absl::Span<const uint8_t> packet) {
+  const Result<PacketHeader> header = options_.packets->Read(packet);
+  if (header.has_value())
+    return header.value();
+  malformed_.Increment();
+  return absl::nullopt;
+}
+
+void NodeLoop::LogDecisions(const std::vector<Decision>& decisions,
+                            absl::Time now) {
+  for (const Decision& decision : decisions)
+    log_.Record(now, decision);
+}
+
+bool NodeLoop::BeginLeaving(absl::Time now) {
+  if (leaving_)
+    return false;
+  leaving_ = true;
+  leaving_since_ = now;
+  return true;
+}
+
+void NodeLoop::DiscardOld(absl::Duration gap) {
+  size_t dropped = channel_.Discard();
+  while (packets_.Receive().has_value())
+    ++dropped;
+  LogLine(suspended_, Severity::kWarning)
+      .Field("gap_ms", absl::ToInt64Milliseconds(gap))
+      .Field("datagrams_dropped", dropped);
+}
+
+}  // namespace skylarkshunt
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -43,6 +43,7 @@
   Route route;
   route.shares = {{kService, 1}};
   route.latency_objective = absl::Milliseconds(150);
+  route.deadline = absl::Milliseconds(2500);
   table->routes[FlowPackets().flow().service] = route;
   return table;
 }
@@ -80,6 +81,10 @@
     Client(flow.Opening());
     const Endpoint agent = actions_.to_agents.at(0).agent;
     CPPUNIT_ASSERT(actions_.to_agents[0].message.mode == ForwardMode::kOpening);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{150},
+                         actions_.to_agents[0].message.objective_ms);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{783},
+                         actions_.to_agents[0].message.attempt_ms);
     // The load of others does not move it.
     for (uint64_t uid = 1; uid <= 3; ++uid)
       Report(uid, EndpointOf(uid) == agent ? 9 : 0);
--- a/unittests/forwarding/opening_queue_test.cc
+++ b/unittests/forwarding/opening_queue_test.cc
@@ -18,6 +18,8 @@
   opening.priority = priority;
   opening.objective = kStart + objective;
   opening.gives_up = kStart + gives_up;
+  // A third of the deadline of the deployments' requests.
+  opening.judged_from = kStart + gives_up - absl::Milliseconds(567);
   return opening;
 }
 
@@ -98,8 +100,14 @@
       now += absl::Milliseconds(8);
       CPPUNIT_ASSERT_EQUAL(port, PopPort(queue, now));
     }
+    CPPUNIT_ASSERT(queue
+                       .TakeHopeless(kStart + absl::Milliseconds(200),
+                                     absl::Milliseconds(8))
+                       .empty());
     const auto gone = queue.TakeHopeless(now, absl::Milliseconds(8));
     CPPUNIT_ASSERT(gone.size() >= 19);
+    // Each attempt has had its share of the deadline, and the next one has
+    // the same.
     CPPUNIT_ASSERT(kStart + absl::Milliseconds(800) - now >=
                    absl::Milliseconds(390));
   }
