--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -25,6 +25,7 @@
 constexpr EventId kHistoryGone{5155, "store_history_gone"};
 constexpr EventId kRegistered{5156, "node_registered"};
 constexpr EventId kPeerFetchFailed{5157, "configuration_fetch_failed"};
+constexpr EventId kNodeObjectsIgnored{5158, "node_objects_ignored"};
 
 /// Kind of the objects that hold the nodes' addresses.
 constexpr absl::string_view kNodesPrefix = "nodes/";
@@ -276,6 +277,8 @@
     const nlohmann::json self = {{"address", options_.node.peers.ToString()},
                                  {"role", is_entry() ? "entry" : "agent"}};
     Revision held{};
+    size_t ignored = 0;
+    std::string first_ignored;
     for (const ConfigRecord& record : list.value().objects) {
       const nlohmann::json value =
           nlohmann::json::parse(record.body, nullptr, false);
@@ -284,8 +287,16 @@
         registered = registered || value == self;
         continue;
       }
-      LearnNode(value);
+      if (!LearnNode(value) && ++ignored == 1)
+        first_ignored = record.key;
     }
+    if (ignored != ignored_objects_ && ignored > 0) {
+      LogLine(kNodeObjectsIgnored, Severity::kWarning)
+          .Field("count", ignored)
+          .Field("first", first_ignored)
+          .Field("reason", "no address and role that a node writes");
+    }
+    ignored_objects_ = ignored;
     if (registered)
       return true;
     const Result<Revision> written = store_->Write(key, self.dump(), held);
@@ -296,22 +307,24 @@
     return true;
   }
 
-  void LearnNode(const nlohmann::json& value) {
+  /// Returns false when the object is not one that a node writes.
+  bool LearnNode(const nlohmann::json& value) {
     if (!value.is_object())
-      return;
+      return false;
     const auto address = value.find("address");
     const auto role = value.find("role");
     if (address == value.end() || !address->is_string() ||
-        role == value.end() || !role->is_string()) {
-      return;
+        role == value.end() || (*role != "entry" && *role != "agent")) {
+      return false;
     }
     const Result<Endpoint> endpoint =
         Endpoint::Parse(address->get_ref<const std::string&>());
     if (!endpoint.has_value())
-      return;
+      return false;
     const Role parsed = *role == "entry" ? Role::kEntry : Role::kAgent;
     // A full ring only delays the address until the next list.
     options_.command(NodeAddress{endpoint.value().address, parsed});
+    return true;
   }
 
   void RunPeers() {
@@ -379,7 +392,8 @@
   Counter& failures_;
   Counter& revision_gauge_;
   BoundedRing<RevisionNotice> notices_;
-  // The next three belong to the store's thread.
+  // The next four belong to the store's thread.
+  size_t ignored_objects_ = 0;
   Backoff backoff_;
   bool store_lost_ = false;
   absl::Time lost_since_;
--- a/unittests/node/configuration_follower_test.cc
+++ b/unittests/node/configuration_follower_test.cc
@@ -31,9 +31,17 @@
     const auto* configuration = std::get_if<ConfigurationInForce>(&command);
     if (configuration != nullptr)
       versions_.push_back(configuration->routes->version);
+    const auto* node = std::get_if<NodeAddress>(&command);
+    if (node != nullptr)
+      nodes_.push_back(node->address);
     return true;
   }
 
+  std::vector<uint32_t> nodes() const {
+    absl::MutexLock lock(&mutex_);
+    return nodes_;
+  }
+
   /// Waits for a version and returns whether it came.
   bool Await(uint64_t version) {
     absl::MutexLock lock(&mutex_);
@@ -56,6 +64,7 @@
  private:
   mutable absl::Mutex mutex_;
   std::vector<uint64_t> versions_;
+  std::vector<uint32_t> nodes_;
   uint64_t wanted_ = 0;
 };
 
@@ -66,6 +75,7 @@
   CPPUNIT_TEST(NodeThatTheStoreTurnsAwayFollowsAnother);
   CPPUNIT_TEST(ForgottenHistoryIsListedAgain);
   CPPUNIT_TEST(BrokenConfigurationLeavesTheOldOneInForce);
+  CPPUNIT_TEST(ObjectsOfForeignWritersNameNoNode);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -152,6 +162,30 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, received_.versions().size());
   }
 
+  // Guards against nodes that do not exist, and against a reader that fails on
+  // what others wrote.
+  void ObjectsOfForeignWritersNameNoNode() {
+    const std::vector<std::string> foreign = {
+        "{}",
+        "[1]",
+        R"({"address":7,"role":"entry"})",
+        R"({"address":"10.1.0.9:7720"})",
+        R"({"address":"10.1.0.9:7720","role":"king"})",
+        R"({"address":"10.1.0.9:7720","role":null})",
+        R"({"address":"ten","role":"agent"})",
+    };
+    for (size_t i = 0; i < foreign.size(); ++i)
+      store_->core().Write("nodes/x" + std::to_string(i), foreign[i], 0);
+    store_->core().Write("nodes/good",
+                         R"({"address":"10.1.0.8:7720","role":"agent"})", 0);
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    const absl::Time limit = absl::Now() + kLongWait;
+    while (received_.nodes().empty() && absl::Now() < limit)
+      absl::SleepFor(absl::Milliseconds(5));
+    CPPUNIT_ASSERT(received_.nodes() == std::vector<uint32_t>{0x0a010008});
+  }
+
  private:
   void Follow() {
     ConfigurationFollower::Options options;
