Soak the way to the store and changes of the configuration; strengthen two tests

Cause: the soak had no faults of connections and no configuration changes, and most rule tests had never been seen failing. Taking each mechanism out showed that MarksChangeNothingElse (a change made twice cancels itself) and ShareThatAllTargetsShowDoesNotCount (load alone decided) could not fail. Change: StreamProxy delays, resets, silences or cuts one way between nodes and store; the soak writes configurations and checks that entries follow within 3 s. Both tests compare what they guard. The entry's line of a refusal names the agent and the load that decided it.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -145,6 +145,10 @@
               const PacketHeader& header,
               absl::string_view reason,
               EntryActions& actions) const;
+  /// Refuses a client whose opening packet an agent gave back.
+  void RefuseReturned(const ReturnedPacket& returned,
+                      const FlowId& flow,
+                      EntryActions& actions) const;
   void Remember(const FlowId& flow, InstanceUid agent, absl::Time now);
   Decision MakeDecision(DecisionKind kind,
                         const FlowId& flow,
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -359,12 +359,12 @@
     if (placed == flows_.end())
       return;
     flows_.erase(placed);
-    Refuse(flow, header, ReturnReasonName(returned.reason), actions);
+    RefuseReturned(returned, flow, actions);
     return;
   }
   if (IsForced(returned)) {
     flows_.erase(flow);
-    Refuse(flow, header, ReturnReasonName(returned.reason), actions);
+    RefuseReturned(returned, flow, actions);
     return;
   }
   ForwardedPacket message;
@@ -439,6 +439,20 @@
       MakeDecision(DecisionKind::kRefused, flow, reason));
 }
 
+void EntryForwarder::RefuseReturned(const ReturnedPacket& returned,
+                                    const FlowId& flow,
+                                    EntryActions& actions) const {
+  // The flow never opened, so that any sequence number is valid.
+  actions.resets.push_back({flow, 0});
+  Decision decision = MakeDecision(DecisionKind::kRefused, flow,
+                                   ReturnReasonName(returned.reason));
+  decision.agent = returned.agent.uid;
+  decision.busy = returned.load.busy;
+  decision.slots = returned.load.slots;
+  decision.hops = static_cast<uint32_t>(returned.declined.size());
+  actions.decisions.push_back(decision);
+}
+
 void EntryForwarder::Remember(const FlowId& flow,
                               InstanceUid agent,
                               absl::Time now) {
--- a/standins/packet_fleet/packet_fleet.cc
+++ b/standins/packet_fleet/packet_fleet.cc
@@ -1,6 +1,7 @@
 #include "standins/packet_fleet/packet_fleet.h"
 
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/memory/memory.h"
@@ -20,13 +21,16 @@
 constexpr uint16_t kStorePort = 8169;
 constexpr int kFirstAgentHost = 50;
 constexpr int kStoreHost = 200;
+constexpr int kStorePathHost = 201;
 constexpr int kFirstClientHost = 210;
 constexpr int kClients = 6;
 constexpr absl::Duration kReadinessInterval = absl::Milliseconds(250);
 constexpr int kMissesUntilOut = 2;
 constexpr absl::Duration kStartLimit = absl::Seconds(20);
 
-constexpr char kConfiguration[] = R"({"version":7,"routes":[
+constexpr char kConfigurationKey[] = "config/main";
+/// Follows the version.
+constexpr char kConfiguration[] = R"(,"routes":[
  {"name":"a","host":"198.18.0.1","path-prefix":"/8443/","kind":"idempotent",
   "timeout-ms":3000,"target-latency-ms":200,"priority":2,"service":"red"},
  {"name":"b","host":"198.18.0.1","path-prefix":"/8080/",
@@ -38,6 +42,10 @@
   {"name":"blue","health-path":"/health","max-conns":2000}],
  "limits":{"idle-timeout-ms":15000}})";
 
+std::string ConfigurationOf(uint64_t version) {
+  return absl::StrCat("{\"version\":", version, kConfiguration);
+}
+
 const char* ServiceOf(int target) {
   return target % 2 == 0 ? "red" : "blue";
 }
@@ -82,10 +90,42 @@
   store.listen = At(kStoreHost, kStorePort);
   BOOST_OUTCOME_TRY(server, PlatformServer::Start(store));
   store_ = std::move(server);
-  store_->core().Write("config/main", kConfiguration, 0);
+  store_->core().Write(kConfigurationKey, ConfigurationOf(version_), 0);
+  BOOST_OUTCOME_TRY(path, StreamProxy::Start(At(kStorePathHost, kStorePort),
+                                             store_->address()));
+  store_path_ = std::move(path);
   return Success();
 }
 
+uint64_t PacketFleet::ChangeConfiguration() {
+  const nlohmann::json held = nlohmann::json::parse(
+      store_->core().Read(kConfigurationKey).body, nullptr, false);
+  if (!held.is_object() || !held.contains("meta"))
+    return 0;
+  const PlatformAnswer answer =
+      store_->core().Write(kConfigurationKey, ConfigurationOf(version_ + 1),
+                           held["meta"].value("rev", uint64_t{0}));
+  constexpr int kOk = 200;
+  if (answer.status != kOk)
+    return 0;
+  return ++version_;
+}
+
+uint64_t PacketFleet::VersionInForce(size_t index) const {
+  HttpCall call;
+  call.server = {nodes_[index].data.address, kPeerPort};
+  call.target = "/node";
+  call.timeout = absl::Milliseconds(300);
+  const Result<HttpAnswer> answer = Call(call);
+  if (!answer.has_value())
+    return 0;
+  const nlohmann::json status =
+      nlohmann::json::parse(answer.value().body, nullptr, false);
+  if (!status.is_object() || !status.contains("configuration"))
+    return 0;
+  return status["configuration"].value("version", uint64_t{0});
+}
+
 Result<void> PacketFleet::AddNode(int number, int target) {
   const bool entry = target < 0;
   const int host = entry ? 1 + number : kFirstAgentHost + number;
@@ -108,7 +148,8 @@
        << "\nseeds=" << At(1, kReportsPort).ToString() << ","
        << At(2, kReportsPort).ToString()
        << "\nheartbeat-ms=300\nbounds.grace-s=6"
-       << "\nplatform.addr=" << store_->address().ToString() << "\n";
+       << "\nplatform.addr=" << At(kStorePathHost, kStorePort).ToString()
+       << "\n";
   if (!entry) {
     FlowTarget::Options options;
     options.index = static_cast<uint8_t>(target + 1);
--- a/standins/packet_fleet/packet_fleet.h
+++ b/standins/packet_fleet/packet_fleet.h
@@ -11,6 +11,7 @@
 #include "absl/synchronization/notification.h"
 #include "standins/packet_fleet/flow_clients.h"
 #include "standins/packet_fleet/flow_target.h"
+#include "standins/packet_fleet/stream_proxy.h"
 #include "standins/platform/platform_server.h"
 #include "standins/process/child_process.h"
 
@@ -53,6 +54,13 @@
   std::vector<Node>& nodes() { return nodes_; }
   std::vector<std::unique_ptr<FlowTarget>>& targets() { return targets_; }
   PlatformCore& store() { return store_->core(); }
+  /// The way from the nodes to the store.
+  StreamProxy& store_path() { return *store_path_; }
+  /// Writes the configuration with a version that is one higher. Returns the
+  /// version, or 0 where the store does not take it.
+  uint64_t ChangeConfiguration();
+  /// Version of the configuration in force at a node; 0 without an answer.
+  uint64_t VersionInForce(size_t index) const;
   FlowClients& clients() { return *clients_; }
 
  private:
@@ -67,6 +75,8 @@
 
   const Options options_;
   std::unique_ptr<PlatformServer> store_;
+  std::unique_ptr<StreamProxy> store_path_;
+  uint64_t version_ = 7;
   std::vector<Node> nodes_;
   std::vector<std::unique_ptr<FlowTarget>> targets_;
   std::unique_ptr<FlowClients> clients_;
--- a/standins/packet_fleet/soak.cc
+++ b/standins/packet_fleet/soak.cc
@@ -22,6 +22,9 @@
 /// After the last fault, time until service is back, and time that is judged.
 constexpr absl::Duration kRecoverTime = absl::Seconds(4);
 constexpr absl::Duration kJudgedTime = absl::Seconds(3);
+/// Time from a change of the configuration until it is in force, as in the
+/// deployments.
+constexpr absl::Duration kConfigurationBound = absl::Seconds(3);
 constexpr double kLeastServed = 0.97;
 constexpr absl::Duration kRound = absl::Milliseconds(20);
 
@@ -46,6 +49,7 @@
     while (MonotonicNow() < end) {
       EndPending(MonotonicNow());
       CheckProcesses();
+      CheckConfiguration(MonotonicNow());
       if (MonotonicNow() >= next) {
         CauseFault();
         next = MonotonicNow() + absl::Milliseconds(random_() % kMostGapMs);
@@ -66,7 +70,8 @@
   bool IsPending(size_t index) const {
     return std::any_of(pending_.begin(), pending_.end(),
                        [index](const auto& p) {
-                         return p.index == index && p.what != "store";
+                         return p.index == index && p.what != "store" &&
+                                p.what != "store_path";
                        });
   }
 
@@ -81,20 +86,24 @@
     const size_t index = random_() % fleet_->nodes().size();
     if (IsPending(index))
       return;
-    const int kinds = options_.planned_only ? 2 : 7;
+    const int kinds = options_.planned_only ? 3 : 9;
     switch (random_() % kinds) {
       case 0:
         return Terminate(index);
       case 1:
         return Drain(index);
       case 2:
-        return KillNode(index);
+        return ChangeConfiguration();
       case 3:
-        return Pause(index);
+        return KillNode(index);
       case 4:
-        return CrashTarget(index);
+        return Pause(index);
       case 5:
+        return CrashTarget(index);
+      case 6:
         return HarmStore();
+      case 7:
+        return HarmStorePath();
       default:
         return KillMany();
     }
@@ -162,6 +171,47 @@
     ++report_.faults[absl::StrCat("store_", FaultModeName(fault.mode))];
     fleet_->store().SetFault(fault);
     pending_.push_back({Later(), "store", 0});
+    const absl::Time end = pending_.back().end;
+    core_disturbed_until_ = std::max(core_disturbed_until_, end);
+  }
+
+  void HarmStorePath() {
+    const auto fault =
+        static_cast<StreamFault>(1 + random_() % (kStreamFaults - 1));
+    ++report_.faults[absl::StrCat("store_path_", StreamFaultName(fault))];
+    fleet_->store_path().SetFault(fault);
+    pending_.push_back({Later(), "store_path", 0});
+    const absl::Time end = pending_.back().end;
+    core_disturbed_until_ = std::max(core_disturbed_until_, end);
+  }
+
+  void ChangeConfiguration() {
+    const uint64_t version = fleet_->ChangeConfiguration();
+    if (version == 0)
+      return;
+    ++report_.faults["configuration"];
+    version_ = version;
+    version_due_ = MonotonicNow() + kConfigurationBound;
+  }
+
+  /// A version must be in force at every entry that serves, within its bound
+  /// from the change or from the end of a disturbance of the store or of the
+  /// entry.
+  void CheckConfiguration(absl::Time now) {
+    if (version_ == 0 || now < version_due_ ||
+        now < core_disturbed_until_ + kStableWindow + kConfigurationBound) {
+      return;
+    }
+    for (size_t i = 0; i < entries(); ++i) {
+      if (IsPending(i) || WasDisturbed(i, now))
+        continue;
+      ++report_.checks["configuration_in_force"];
+      const uint64_t version = fleet_->VersionInForce(i);
+      if (version < version_)
+        Break(absl::StrCat(fleet_->nodes()[i].name, " has version ", version,
+                           " instead of ", version_));
+    }
+    version_ = 0;
   }
 
   /// Kills about half of the nodes at one moment.
@@ -192,6 +242,8 @@
   void End(const Pending& pending, bool ended) {
     if (pending.what == "store") {
       fleet_->store().SetFault(Fault{});
+    } else if (pending.what == "store_path") {
+      fleet_->store_path().SetFault(StreamFault::kNone);
     } else if (pending.what == "drain") {
       fleet_->targets()[pending.index - entries()]->SetDraining(false);
     } else if (pending.what == "target_restart") {
@@ -237,6 +289,7 @@
   /// Faults are over: service must come back.
   void Settle() {
     absl::SleepFor(kRecoverTime);
+    CheckConfiguration(MonotonicNow());
     const ClientTally before = fleet_->clients().tally();
     absl::SleepFor(kJudgedTime);
     fleet_->clients().StopAsking();
@@ -289,6 +342,10 @@
   std::vector<Pending> pending_;
   /// By node: when it was disturbed.
   std::vector<std::vector<std::pair<absl::Time, absl::Time>>> disturbed_;
+  /// Version that is to be in force from `version_due_` on; 0 if none.
+  uint64_t version_ = 0;
+  absl::Time version_due_;
+  absl::Time core_disturbed_until_ = absl::InfinitePast();
   SoakReport report_;
 };
 
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -285,6 +285,11 @@
     CPPUNIT_ASSERT(actions_.to_agents.empty());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
     CPPUNIT_ASSERT(actions_.resets[0].flow == flow.flow());
+    // The log names what decided it.
+    const Decision& decision = actions_.decisions.at(0);
+    CPPUNIT_ASSERT_EQUAL(uid, ToNumber(decision.agent));
+    CPPUNIT_ASSERT_EQUAL(uint32_t{4}, decision.busy);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{4}, decision.slots);
   }
 
   // Pattern: an agent stands still for a while, its callers go elsewhere, and
@@ -437,8 +442,8 @@
   // others.
   void ShareThatAllTargetsShowDoesNotCount() {
     for (uint64_t uid : {1, 2, 3}) {
-      AgentLoad load = Load(static_cast<uint16_t>(4 * uid));
-      load.failing_permille = static_cast<uint16_t>(400 + 30 * (3 - uid));
+      AgentLoad load = Load(static_cast<uint16_t>(3 + uid));
+      load.failing_permille = uid == 1 ? 490 : 400;
       directory_.Update(Identity(uid), load, EndpointOf(uid), kStart);
     }
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Place());
--- a/unittests/platform_adapter/platform_adapter_test.cc
+++ b/unittests/platform_adapter/platform_adapter_test.cc
@@ -118,6 +118,9 @@
     format_->SetReturnToken(absl::MakeSpan(packet), 0x01020304);
     CPPUNIT_ASSERT_EQUAL(uint32_t{0x01020304},
                          format_->Read(packet).value().return_token);
+    constexpr size_t kTokenBytes = 4;
+    CPPUNIT_ASSERT(absl::MakeSpan(packet).subspan(kTokenBytes) ==
+                   absl::MakeSpan(kPublishedOpening).subspan(kTokenBytes));
     format_->SetReturnToken(absl::MakeSpan(packet), 0);
     CPPUNIT_ASSERT(packet == kPublishedOpening);
   }
