--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -11,11 +11,10 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "absl/types/span.h"
+#include "skylarkshunt/forwarding/agent_flows.h"
 #include "skylarkshunt/forwarding/decision.h"
-#include "skylarkshunt/forwarding/load_model.h"
 #include "skylarkshunt/forwarding/messages.h"
 #include "skylarkshunt/forwarding/opening_queue.h"
-#include "skylarkshunt/forwarding/outcome_model.h"
 #include "skylarkshunt/forwarding/target_state.h"
 #include "skylarkshunt/packets/packet.h"
 
@@ -107,37 +106,6 @@
   const TargetState& target() const { return target_; }
 
  private:
-  enum class Phase : uint8_t { kOpening, kOpen, kEnded };
-
-  struct Flow {
-    Phase phase = Phase::kOpening;
-    Endpoint entry;
-    RequestKind kind = RequestKind::kNonIdempotent;
-    /// Whether a request runs or is expected at the target.
-    bool busy = false;
-    bool client_ended = false;
-    bool target_ended = false;
-    bool target_sequence_known = false;
-    /// The target has sent more than its grant, so that the flow is open there.
-    bool confirmed = false;
-    /// The request has been counted as failed, since it had no answer for long.
-    bool overdue = false;
-    uint32_t target_sequence = 0;
-    /// Next byte of the client that starts a new request.
-    uint32_t client_next = 0;
-    bool client_next_known = false;
-    /// Next byte that the client expects; the sequence of a reset.
-    uint32_t client_expects = 0;
-    /// First byte of the answer to the last request, and the byte after what
-    /// was seen of it.
-    uint32_t answer_begin = 0;
-    uint32_t answer_end = 0;
-    uint32_t busy_before = 0;
-    absl::Time opened;
-    absl::Time requested;
-    absl::Time used;
-  };
-
   /// Where a packet came from that the target may return.
   struct Delivery {
     uint32_t token = 0;
@@ -190,16 +158,11 @@
                Endpoint entry,
                absl::Time now,
                AgentActions& actions);
-  void NoteClientPacket(Flow& flow, const PacketHeader& header, absl::Time now);
   void NoteTargetPacket(const FlowId& id,
-                        Flow& flow,
+                        AgentFlows::Flow& flow,
                         const PacketHeader& header,
                         absl::Time now,
                         AgentActions& actions);
-  /// Takes the outcome of a request into account once its answer has ended.
-  void NoteAnswerEnd(const FlowId& id, const Flow& flow, absl::Time now);
-  /// Counts a request that has had no answer for too long.
-  void NoteUnanswered(Flow& flow, absl::Time now);
   void OnReturnedByTarget(const PacketHeader& header,
                           absl::Span<const uint8_t> packet,
                           absl::Time now,
@@ -214,8 +177,6 @@
   uint32_t Deliver(Delivery delivery,
                    absl::Span<const uint8_t> packet,
                    AgentActions& actions);
-  void SetBusy(Flow& flow, bool busy);
-  void EraseFlow(const FlowId& id);
   void CutFlows(absl::string_view reason, AgentActions& actions);
   Decision MakeDecision(DecisionKind kind,
                         const FlowId& flow,
@@ -223,14 +184,11 @@
 
   const Options options_;
   TargetState target_;
-  ServiceTimeModel service_time_;
-  OutcomeModel outcomes_;
   OpeningQueue queue_;
   /// Packets of the queue that the last call passed to the target or gave back.
   /// A deque, since actions point to their bytes.
   std::deque<WaitingOpening> served_;
-  absl::Duration handshake_time_;
-  absl::flat_hash_map<FlowId, Flow> flows_;
+  AgentFlows flows_;
   /// Flows that the target returned a packet of, and when.
   absl::flat_hash_map<FlowId, absl::Time> not_held_;
   std::vector<Delivery> deliveries_;
@@ -241,8 +199,6 @@
   std::deque<std::pair<absl::Time, FlowId>> granted_;
   /// Bytes of packets that were given back by Tick().
   std::vector<Unanswered> overdue_;
-  uint32_t busy_ = 0;
-  uint32_t open_ = 0;
   bool leaving_ = false;
   absl::Time next_sweep_;
 };
--- /dev/null
+++ b/lib/forwarding/agent_flows.cc
@@ -0,0 +1,235 @@
+#include "skylarkshunt/forwarding/agent_flows.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace skylarkshunt {
+namespace {
+
+/// Most flows that an agent keeps.
+constexpr size_t kMaxFlows = 32'768;
+/// An ended flow is kept for the last packets of both ends.
+constexpr absl::Duration kEndedLifetime = absl::Seconds(5);
+/// A flow without packets is forgotten after this: the deployments let flows
+/// end after 60 s in all, and sooner when they are idle.
+constexpr absl::Duration kIdleLifetime = absl::Seconds(70);
+/// Sequence numbers of two ends that differ by less belong together; a flow
+/// carries less, and a foreign sequence number is random.
+constexpr uint32_t kSequenceWindow = 1U << 24;
+/// Weight of one more handshake in the usual time of one.
+constexpr double kHandshakeWeight = 0.05;
+/// A request without an answer for this long counts as failed: longer than any
+/// latency objective of the deployments, and a multiple of the usual time below
+/// the one at which the usual time itself is raised.
+constexpr absl::Duration kLeastOverdueTime = absl::Seconds(1);
+constexpr double kOverdueFactor = 6.0;
+/// A request whose client has ended its side and that sees no packet for this
+/// long runs no more.
+constexpr absl::Duration kAbandonedAfter = absl::Seconds(1);
+
+bool FollowsSequence(uint32_t acknowledged, uint32_t initial) {
+  return acknowledged - initial < kSequenceWindow;
+}
+
+bool IsAfter(uint32_t a, uint32_t b) {
+  return static_cast<int32_t>(a - b) > 0;
+}
+
+}  // namespace
+
+AgentFlows::Flow* AgentFlows::Find(const FlowId& id) {
+  const auto known = flows_.find(id);
+  return known == flows_.end() ? nullptr : &known->second;
+}
+
+bool AgentFlows::is_full() const {
+  return flows_.size() >= kMaxFlows;
+}
+
+void AgentFlows::Open(const FlowId& id,
+                      Endpoint entry,
+                      RequestKind kind,
+                      absl::Time now) {
+  Flow& flow = flows_[id];
+  flow.entry = entry;
+  flow.kind = kind;
+  flow.used = now;
+  flow.opened = now;
+  flow.requested = now;
+  flow.busy_before = busy_;
+  ++open_;
+  SetBusy(flow, true);
+}
+
+void AgentFlows::Adopt(const FlowId& id, absl::Time now) {
+  Flow& flow = flows_[id];
+  flow.phase = Phase::kOpen;
+  flow.confirmed = true;
+  flow.used = now;
+  ++open_;
+}
+
+void AgentFlows::NoteGrant(Flow& flow,
+                           const PacketHeader& header,
+                           absl::Time now) {
+  flow.used = now;
+  flow.target_sequence = header.sequence;
+  flow.target_sequence_known = true;
+}
+
+void AgentFlows::NoteClientPacket(Flow& flow,
+                                  const PacketHeader& header,
+                                  absl::Time now) {
+  flow.used = now;
+  if (header.acknowledges)
+    flow.client_expects = header.acknowledged;
+  if (flow.phase == Phase::kOpening)
+    flow.phase = Phase::kOpen;
+  if (header.payload_bytes > 0) {
+    const uint32_t end = header.sequence + header.payload_bytes;
+    const bool fresh =
+        !flow.client_next_known || IsAfter(end, flow.client_next);
+    if (fresh) {
+      if (!flow.client_next_known && flow.opened != absl::Time())
+        handshake_time_ +=
+            kHandshakeWeight * (now - flow.opened - handshake_time_);
+      if (flow.client_next_known && !flow.busy && !flow.target_ended)
+        NoteAnswerEnd(header.flow_from_client(), flow, now);
+      flow.answer_begin = header.acknowledged;
+      flow.answer_end = header.acknowledged;
+      flow.overdue = false;
+      flow.client_next = end;
+      flow.client_next_known = true;
+      flow.requested = now;
+      if (!flow.busy)
+        flow.busy_before = busy_;
+      SetBusy(flow, true);
+    }
+  }
+  if (header.ending)
+    flow.client_ended = true;
+  const bool over = header.reset || (flow.client_ended && flow.target_ended);
+  if (over && flow.phase != Phase::kEnded) {
+    SetEnded(flow);
+    SetBusy(flow, false);
+  }
+}
+
+absl::optional<absl::Duration> AgentFlows::NoteTargetPacket(
+    const FlowId& id,
+    Flow& flow,
+    const PacketHeader& header,
+    uint32_t slots,
+    absl::Time now) {
+  flow.used = now;
+  flow.confirmed = true;
+  // The packets of an answer come in any order, and its end often comes first.
+  const bool answers = header.payload_bytes > 0 || header.ending;
+  absl::optional<absl::Duration> answered_after;
+  if (answers && flow.busy) {
+    answered_after = now - flow.requested;
+    service_time_.Record(*answered_after, flow.busy_before, slots, now);
+  }
+  const uint32_t end = header.sequence + header.payload_bytes;
+  if (answers && IsAfter(end, flow.answer_end))
+    flow.answer_end = end;
+  const bool unfinished = flow.phase == Phase::kOpen && flow.client_next_known;
+  if (header.reset && unfinished && !flow.target_ended && !flow.overdue)
+    outcomes_.RecordFailure(now);
+  if (answers || header.reset)
+    SetBusy(flow, false);
+  if (header.ending) {
+    if (unfinished && !flow.target_ended)
+      NoteAnswerEnd(id, flow, now);
+    flow.target_ended = true;
+  }
+  const bool over = header.reset || (flow.client_ended && flow.target_ended);
+  if (over && flow.phase != Phase::kEnded)
+    SetEnded(flow);
+  return answered_after;
+}
+
+void AgentFlows::NoteAnswerEnd(const FlowId& id,
+                               const Flow& flow,
+                               absl::Time now) {
+  // An answer without a byte is the end of a flow that was not used.
+  if (flow.answer_end == flow.answer_begin || flow.overdue)
+    return;
+  outcomes_.RecordAnswer(id.service, flow.answer_end - flow.answer_begin, now);
+}
+
+void AgentFlows::NoteUnanswered(Flow& flow, absl::Time now) {
+  const absl::Duration elapsed = now - flow.requested;
+  const absl::Duration usual = service_time_.estimate(now);
+  service_time_.RecordUnanswered(elapsed, now);
+  if (flow.overdue ||
+      elapsed < std::max(kLeastOverdueTime, kOverdueFactor * usual)) {
+    return;
+  }
+  flow.overdue = true;
+  outcomes_.RecordFailure(now);
+}
+
+void AgentFlows::StopWaiting(const FlowId& id) {
+  Flow* flow = Find(id);
+  if (flow != nullptr && flow->phase == Phase::kOpening)
+    SetBusy(*flow, false);
+}
+
+void AgentFlows::Clear() {
+  flows_.clear();
+  busy_ = 0;
+  open_ = 0;
+}
+
+void AgentFlows::ForgetTarget() {
+  service_time_.Reset();
+  outcomes_.Reset();
+}
+
+void AgentFlows::Sweep(absl::Time now) {
+  std::vector<FlowId> expired;
+  for (auto& [id, flow] : flows_) {
+    const absl::Duration age = now - flow.used;
+    const absl::Duration lifetime =
+        flow.phase == Phase::kEnded ? kEndedLifetime : kIdleLifetime;
+    if (age > lifetime)
+      expired.push_back(id);
+    if (flow.busy && flow.phase == Phase::kOpen)
+      NoteUnanswered(flow, now);
+    if (flow.client_ended && age > kAbandonedAfter)
+      SetBusy(flow, false);
+  }
+  for (const FlowId& id : expired)
+    Erase(id);
+}
+
+bool AgentFlows::IsForeign(const Flow& flow, const PacketHeader& header) {
+  return flow.phase == Phase::kOpening && header.acknowledges &&
+         flow.target_sequence_known &&
+         !FollowsSequence(header.acknowledged, flow.target_sequence);
+}
+
+void AgentFlows::SetBusy(Flow& flow, bool busy) {
+  if (flow.busy == busy)
+    return;
+  flow.busy = busy;
+  busy_ += busy ? 1 : -1;
+}
+
+void AgentFlows::SetEnded(Flow& flow) {
+  flow.phase = Phase::kEnded;
+  --open_;
+}
+
+void AgentFlows::Erase(const FlowId& id) {
+  const auto known = flows_.find(id);
+  if (known == flows_.end())
+    return;
+  SetBusy(known->second, false);
+  if (known->second.phase != Phase::kEnded)
+    --open_;
+  flows_.erase(known);
+}
+
+}  // namespace skylarkshunt
