Send the copy of an opening packet elsewhere when its agent answers nothing

Cause: a copy went to the agent of the first packet until that had been silent for 0.3 s, also when two packets had had no answer; the request of a placement was built in three places. Change: a copy goes elsewhere when its agent counts as silent; RequestFor() builds the request.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -109,6 +109,9 @@
              absl::string_view reason,
              absl::Time now,
              EntryActions& actions);
+  /// Valid as long as `message`.
+  PlacementRequest RequestFor(const FlowId& flow,
+                              const ForwardedPacket& message) const;
   void SendOpening(const FlowId& flow,
                    ForwardedPacket message,
                    const Placement& placement,
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -136,7 +136,7 @@
   const auto cached = flows_.find(flow);
   if (cached != flows_.end()) {
     AgentView* agent = agents_.Find(cached->second.agent);
-    if (agent != nullptr &&
+    if (agent != nullptr && IsHeard(*agent, now) &&
         now - agent->heard < kCopyElsewhereAfter * agent->suspect_after &&
         agent->identity.service == message.service) {
       cached->second.used = now;
@@ -162,12 +162,8 @@
                            absl::string_view reason,
                            absl::Time now,
                            EntryActions& actions) {
-  PlacementRequest request;
-  request.service = message.service;
-  request.data_centre = data_centre_;
-  request.flow_hash = StableFlowHash(flow);
-  request.declined = message.declined;
-  const absl::optional<Placement> placement = PlaceFlow(agents_, request, now);
+  const absl::optional<Placement> placement =
+      PlaceFlow(agents_, RequestFor(flow, message), now);
   if (placement.has_value())
     SendOpening(flow, std::move(message), *placement, kind, reason, now,
                 actions);
@@ -175,6 +171,17 @@
     PlaceAnywhere(flow, std::move(message), now, actions);
 }
 
+PlacementRequest EntryForwarder::RequestFor(
+    const FlowId& flow,
+    const ForwardedPacket& message) const {
+  PlacementRequest request;
+  request.service = message.service;
+  request.data_centre = data_centre_;
+  request.flow_hash = StableFlowHash(flow);
+  request.declined = message.declined;
+  return request;
+}
+
 void EntryForwarder::SendOpening(const FlowId& flow,
                                  ForwardedPacket message,
                                  const Placement& placement,
@@ -242,14 +249,10 @@
   message.service = ChooseService(*route, overdue.flow);
   message.declined.push_back(overdue.agent);
   message.packet = overdue.packet;
-  PlacementRequest request;
-  request.service = message.service;
-  request.data_centre = data_centre_;
-  request.flow_hash = StableFlowHash(overdue.flow);
-  request.declined = message.declined;
   // Without another agent the client is not refused: the silent one may have
   // taken the packet.
-  const absl::optional<Placement> placement = PlaceFlow(agents_, request, now);
+  const absl::optional<Placement> placement =
+      PlaceFlow(agents_, RequestFor(overdue.flow, message), now);
   if (placement.has_value())
     SendOpening(overdue.flow, std::move(message), *placement,
                 DecisionKind::kPlacedAgain, "agent_silent", now, actions);
@@ -272,10 +275,8 @@
                                    ForwardedPacket message,
                                    absl::Time now,
                                    EntryActions& actions) {
-  PlacementRequest request;
-  request.service = message.service;
-  request.data_centre = data_centre_;
-  request.flow_hash = StableFlowHash(flow);
+  PlacementRequest request = RequestFor(flow, message);
+  request.declined = {};
   const absl::optional<Placement> placement = PlaceFlow(agents_, request, now);
   if (!placement.has_value() || message.declined.empty()) {
     PacketHeader header;
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -252,6 +252,8 @@
     NoteUnanswered(*agent, now_);
     CPPUNIT_ASSERT(!IsHeard(*agent, now_));
     CPPUNIT_ASSERT(!entry_.agents().IsComplete(kService, now_));
+    Client(flow.Opening(1));
+    CPPUNIT_ASSERT(actions_.to_agents.at(0).agent != silent);
     Report(UidAt(silent), 0);
     CPPUNIT_ASSERT(IsHeard(*agent, now_));
     // An answer that came after the packet was sent is no silence.
