Name new nodes and a part of the others in an entry's reports

Change: a usual report names 24 nodes, half of them those that appeared last and the others in turn; a node that has just been heard is told of all at once. Ruled out: rarer reports (presence and revisions would be known later). NodeDirectoryTest ReportsStaySmallAndNameNewNodesFirst.

--- a/include/skylarkshunt/forwarding/node_directory.h
+++ b/include/skylarkshunt/forwarding/node_directory.h
@@ -43,6 +43,11 @@
 
   /// The nodes present, at most `limit`; entries come first.
   std::vector<NodeAddress> Present(absl::Time now, size_t limit) const;
+  /// At most `limit` present nodes for a report: half of it those that appeared
+  /// last, the rest all nodes in turn. So a report stays small in a large
+  /// fleet, news spreads with the next one, and everything else within some
+  /// more.
+  std::vector<NodeAddress> TakeReported(absl::Time now, size_t limit);
   /// Number of present entries other than this node.
   size_t CountPresentEntries(absl::Time now) const;
 
@@ -52,6 +57,8 @@
     bool seed = false;
     absl::Time learned;
     absl::Time heard = absl::InfinitePast();
+    /// When it was first heard after a silence.
+    absl::Time appeared = absl::InfinitePast();
     absl::Time due;
   };
 
@@ -62,6 +69,8 @@
   const uint32_t address_;
   absl::Duration interval_;
   absl::flat_hash_map<uint32_t, Known> nodes_;
+  /// The address after which the turn of a report goes on.
+  uint32_t turn_ = 0;
 };
 
 }  // namespace skylarkshunt
--- a/lib/forwarding/node_directory.cc
+++ b/lib/forwarding/node_directory.cc
@@ -58,8 +58,10 @@
   known.role = node.role;
   const bool absent = now - known.heard > kNodePresentFor;
   known.heard = now;
-  if (absent)
+  if (absent) {
     known.due = now;
+    known.appeared = now;
+  }
   return absent;
 }
 
@@ -107,6 +109,28 @@
   return present;
 }
 
+std::vector<NodeAddress> NodeDirectory::TakeReported(absl::Time now,
+                                                     size_t limit) {
+  std::vector<NodeAddress> present = Present(now, nodes_.size());
+  if (present.size() <= limit)
+    return present;
+  const size_t newest = limit / 2;
+  std::partial_sort(
+      present.begin(), present.begin() + static_cast<ptrdiff_t>(newest),
+      present.end(), [this](const NodeAddress& a, const NodeAddress& b) {
+        return nodes_.at(a.address).appeared > nodes_.at(b.address).appeared;
+      });
+  // The others in the order of their addresses, from the last turn on.
+  const auto rest = present.begin() + static_cast<ptrdiff_t>(newest);
+  std::sort(rest, present.end(),
+            [this](const NodeAddress& a, const NodeAddress& b) {
+              return a.address - turn_ - 1 < b.address - turn_ - 1;
+            });
+  present.resize(limit);
+  turn_ = present.back().address;
+  return present;
+}
+
 size_t NodeDirectory::CountPresentEntries(absl::Time now) const {
   return static_cast<size_t>(
       std::count_if(nodes_.begin(), nodes_.end(), [now](const auto& node) {
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -19,6 +19,9 @@
 
 /// Time between two reports of an entry to a node that is present.
 constexpr absl::Duration kEntryReportInterval = absl::Milliseconds(500);
+/// Addresses in a usual report, 5 bytes each: small against the report itself,
+/// and a fleet of 300 nodes is told in turn within some 13 s.
+constexpr size_t kUsualReportedNodes = 24;
 /// An entry without any agent says that it is ready after this time, since it
 /// can then refuse at once.
 constexpr absl::Duration kReadyWithoutAgents = absl::Seconds(2);
@@ -148,8 +151,14 @@
   }
 
   void NoteNode(NodeAddress node, absl::Time now) {
-    nodes_.Heard(node, now);
+    const bool appeared = nodes_.Heard(node, now);
     NoteHeard(now);
+    if (!appeared)
+      return;
+    // A node that has just started is told of all others at once.
+    ++self_.sequence;
+    self_.nodes = nodes_.Present(now, kMaxReportedNodes);
+    channel_.SendToNode(node.address, self_);
   }
 
   void NoteRevision(uint32_t address, Revision revision) {
@@ -181,7 +190,7 @@
     if (due_.empty())
       return;
     ++self_.sequence;
-    self_.nodes = nodes_.Present(now, kMaxReportedNodes);
+    self_.nodes = nodes_.TakeReported(now, kUsualReportedNodes);
     const NodeMessage report = self_;
     for (const uint32_t address : due_)
       channel_.SendToNode(address, report);
--- a/unittests/forwarding/node_directory_test.cc
+++ b/unittests/forwarding/node_directory_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 #include "packets.h"
 
 namespace skylarkshunt {
@@ -17,6 +19,7 @@
   CPPUNIT_TEST(NodeThatComesBackIsGreetedAtOnce);
   CPPUNIT_TEST(SilentNodesAreForgottenAndSeedsStay);
   CPPUNIT_TEST(PresentNodesPutEntriesFirst);
+  CPPUNIT_TEST(ReportsStaySmallAndNameNewNodesFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +80,28 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, nodes.CountPresentEntries(kStart));
   }
 
+  // Pattern: a fleet of hundreds of nodes. Guards against reports whose bytes
+  // grow with the square of the fleet, against news that waits its turn, and
+  // against nodes that are never named.
+  void ReportsStaySmallAndNameNewNodesFirst() {
+    NodeDirectory nodes(Role::kEntry, kSelf, kInterval, {}, kStart);
+    for (uint32_t address = 100; address < 400; ++address)
+      nodes.Heard({address, Role::kAgent}, kStart);
+    const absl::Time later = kStart + absl::Seconds(1);
+    nodes.Heard({77, Role::kEntry}, later);
+    std::set<uint32_t> named;
+    for (int i = 0; i < 30; ++i) {
+      const std::vector<NodeAddress> reported = nodes.TakeReported(later, 24);
+      CPPUNIT_ASSERT_EQUAL(size_t{24}, reported.size());
+      CPPUNIT_ASSERT_EQUAL(uint32_t{77}, reported[0].address);
+      for (const NodeAddress& node : reported)
+        named.insert(node.address);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{301}, named.size());
+    // A small fleet is named whole.
+    CPPUNIT_ASSERT_EQUAL(size_t{301}, nodes.TakeReported(later, 400).size());
+  }
+
  private:
   static std::vector<uint32_t> Due(NodeDirectory& nodes, absl::Time now) {
     std::vector<uint32_t> due;
