Hand the configuration on compressed and in parts that are kept

Cause: after a power loss on links of 2 Mbit/s no node got its configuration back. It holds 1,056 routes there; one copy passes such a link in about a second, the time-outs were 0.4 s (store) and 0.8 s (neighbour) for the whole document, all nodes asked at once, and each try began anew.

Change: documents between nodes are compressed (Zstandard) and asked for in parts of 8 KiB. Parts that came are kept when their sender fails or goes on to another revision; a document that has begun is completed in a storm of changes. An answer of the store that has begun is given up after silence, not after a fixed time.

Ruled out: longer fixed time-outs alone (all askers share the links, so that each waits for all).

--- a/include/skylarkshunt/http/http_client.h
+++ b/include/skylarkshunt/http/http_client.h
@@ -24,8 +24,14 @@
   /// Type of the body; sent where there is one.
   std::string content_type = "application/json";
   std::vector<std::pair<std::string, std::string>> headers;
-  /// Bounds the whole call, from connecting to the last byte of the answer.
+  /// Bounds the call from connecting to the last byte of the answer, or to its
+  /// first byte where `progress_timeout` is set.
   absl::Duration timeout = absl::Seconds(2);
+  /// Longest silence within an answer that has begun, so that a long answer on
+  /// a slow link is not given up while it comes; zero for none.
+  absl::Duration progress_timeout;
+  /// Bounds an answer that has begun and that `progress_timeout` lets go on.
+  absl::Duration transfer_limit = absl::Seconds(20);
   /// Bounds connecting, within `timeout`.
   absl::Duration connect_timeout = absl::InfiniteDuration();
   size_t max_answer_bytes = 1'048'576;
--- a/include/skylarkshunt/node/node_options.h
+++ b/include/skylarkshunt/node/node_options.h
@@ -49,6 +49,8 @@
   Endpoint store;
   /// Time between two reports of a target.
   absl::Duration target_report_interval = absl::Milliseconds(1200);
+  /// Rate of the instance's link, in bytes a second; 0 where it is not known.
+  uint64_t link_bytes_per_second = 0;
   /// Time between SIGTERM and SIGKILL.
   absl::Duration shutdown_limit = absl::Seconds(6);
 };
--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -30,7 +30,7 @@
 enum class ReadFreshness { kCurrent, kMayBeStale };
 
 /// Blocking client of the platform's object store. Not thread-safe: one client
-/// per thread. Every call ends within the timeout of the options.
+/// per thread. Every call ends within the time-outs of the options.
 ///
 /// A key is "kind/name" and a prefix "kind/"; kind and name have 1 to 200
 /// letters, digits, '-', '_' and '.'. Every call fails with kInvalidArgument
@@ -39,7 +39,11 @@
  public:
   struct Options {
     Endpoint platform;
+    /// Bounds each call, or the time to the first byte of its answer where
+    /// `progress_timeout` is set.
     absl::Duration timeout = absl::Seconds(2);
+    /// Longest silence within an answer that has begun; zero for none.
+    absl::Duration progress_timeout;
   };
 
   static Result<std::unique_ptr<PlatformClient>> Create(const Options& options);
--- /dev/null
+++ b/lib/documents/document_download.cc
@@ -0,0 +1,137 @@
+#include "skylarkshunt/documents/document_download.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace skylarkshunt {
+namespace {
+
+/// Most nodes kept as sources; beyond it new ones are ignored, since any of
+/// those kept has the document.
+constexpr size_t kMaxSources = 64;
+/// Wait before a node that is busy is asked again: about the time of one part
+/// on a link of 2 Mbit/s at half its rate.
+constexpr absl::Duration kBusyDelay = absl::Milliseconds(60);
+/// First and longest wait before a node that failed is asked again.
+constexpr absl::Duration kFirstDelay = absl::Milliseconds(200);
+constexpr absl::Duration kLongestDelay = absl::Seconds(3);
+/// Parts of a document that has begun may be ahead of the rate by this, so that
+/// the next one is on its way while the asker handles the last one.
+constexpr absl::Duration kBurstTime = absl::Milliseconds(130);
+
+}  // namespace
+
+void DocumentDownload::OnOffer(uint32_t node, Revision revision) {
+  if (sources_.size() >= kMaxSources && !sources_.contains(node))
+    return;
+  Source& source = sources_[node];
+  if (ToNumber(revision) > ToNumber(source.revision))
+    source.revision = revision;
+}
+
+absl::optional<DocumentDownload::Request> DocumentDownload::Next(
+    Revision held,
+    absl::Time now) {
+  absl::erase_if(sources_, [held](const auto& source) {
+    return ToNumber(source.second.revision) <= ToNumber(held);
+  });
+  if (ToNumber(partial_.revision) <= ToNumber(held))
+    partial_ = {};
+  std::vector<std::pair<uint32_t, Revision>> ready;
+  for (const auto& [node, source] : sources_) {
+    if (source.not_before <= now)
+      ready.emplace_back(node, source.revision);
+  }
+  if (ready.empty())
+    return absl::nullopt;
+  // Order that does not depend on the hash table's seed.
+  std::sort(ready.begin(), ready.end());
+  size_t chosen =
+      std::uniform_int_distribution<size_t>(0, ready.size() - 1)(random_);
+  for (size_t i = 0; i < ready.size(); ++i) {
+    if (ready[i].first == preferred_)
+      chosen = i;
+  }
+  Request request;
+  request.node = ready[chosen].first;
+  // A document that has begun to come is completed, also when a newer one is
+  // offered meanwhile: in a storm of changes none would ever be complete.
+  const bool begun = !partial_.packed.empty();
+  request.revision = begun ? partial_.revision : ready[chosen].second;
+  request.offset = static_cast<uint32_t>(partial_.packed.size());
+  return request;
+}
+
+absl::Time DocumentDownload::next_time(Revision held) const {
+  absl::Time next = absl::InfiniteFuture();
+  for (const auto& [node, source] : sources_) {
+    if (ToNumber(source.revision) > ToNumber(held))
+      next = std::min(next, source.not_before);
+  }
+  return next;
+}
+
+absl::optional<PackedDocument> DocumentDownload::OnChunk(
+    uint32_t node,
+    const DocumentChunk& chunk) {
+  preferred_ = node;
+  const auto source = sources_.find(node);
+  if (source != sources_.end())
+    source->second.failures = 0;
+  const bool same = chunk.revision == partial_.revision &&
+                    chunk.digest == partial_.digest &&
+                    chunk.packed_bytes == packed_bytes_;
+  if (!same) {
+    // The node holds another document by now. It is begun from its first byte.
+    partial_ = {};
+    partial_.revision = chunk.revision;
+    partial_.raw_bytes = chunk.raw_bytes;
+    partial_.digest = chunk.digest;
+    packed_bytes_ = chunk.packed_bytes;
+  }
+  if (chunk.offset != partial_.packed.size())
+    return absl::nullopt;
+  partial_.packed.append(chunk.bytes.data(), chunk.bytes.size());
+  if (partial_.packed.size() < packed_bytes_)
+    return absl::nullopt;
+  return std::exchange(partial_, {});
+}
+
+void DocumentDownload::OnBusy(uint32_t node, absl::Time now) {
+  Delay(node, kBusyDelay, now);
+}
+
+void DocumentDownload::OnFailure(uint32_t node, absl::Time now) {
+  const auto source = sources_.find(node);
+  if (source == sources_.end())
+    return;
+  const uint32_t doublings = std::min<uint32_t>(source->second.failures++, 4);
+  Delay(node, std::min(kFirstDelay * (1U << doublings), kLongestDelay), now);
+}
+
+void DocumentDownload::Delay(uint32_t node,
+                             absl::Duration delay,
+                             absl::Time now) {
+  if (preferred_ == node)
+    preferred_ = 0;
+  const auto source = sources_.find(node);
+  if (source == sources_.end())
+    return;
+  // Nodes that start together do not ask together again.
+  const double jitter =
+      std::uniform_real_distribution<double>(0.5, 1.5)(random_);
+  source->second.not_before = now + jitter * delay;
+}
+
+bool TransferBudget::Take(size_t bytes, size_t offset, absl::Time now) {
+  if (rate_ == 0)
+    return true;
+  if (paid_ > now + (offset > 0 ? kBurstTime : absl::ZeroDuration()))
+    return false;
+  paid_ = std::max(paid_, now) + absl::Seconds(static_cast<double>(bytes) /
+                                               static_cast<double>(rate_));
+  return true;
+}
+
+}  // namespace skylarkshunt
--- a/lib/http/http_client.cc
+++ b/lib/http/http_client.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -129,9 +130,23 @@
   }
 
   void Receive() {
-    http::async_read(
-        stream_, buffer_, parser_,
-        [this](beast::error_code error, size_t) { error_ = error; });
+    http::async_read_some(stream_, buffer_, parser_,
+                          [this](beast::error_code error, size_t) {
+                            error_ = error;
+                            if (error || parser_.is_done())
+                              return;
+                            ExtendForProgress();
+                            Receive();
+                          });
+  }
+
+  void ExtendForProgress() {
+    if (call_.progress_timeout == absl::ZeroDuration())
+      return;
+    const auto limit = end_ + absl::ToChronoMicroseconds(call_.transfer_limit);
+    const auto silence = std::chrono::steady_clock::now() +
+                         absl::ToChronoMicroseconds(call_.progress_timeout);
+    stream_.expires_at(std::min(limit, std::max(end_, silence)));
   }
 
   const HttpCall& call_;
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -1,15 +1,21 @@
 #include "configuration_follower.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "absl/base/thread_annotations.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/synchronization/notification.h"
 #include "skylarkshunt/base/bounded_ring.h"
 #include "skylarkshunt/base/event.h"
+#include "skylarkshunt/documents/document_download.h"
+#include "skylarkshunt/documents/packed_document.h"
 #include "skylarkshunt/http/http_client.h"
 #include "skylarkshunt/net/poller.h"
 #include "skylarkshunt/platform/platform_client.h"
@@ -26,6 +32,12 @@
 constexpr EventId kRegistered{5156, "node_registered"};
 constexpr EventId kPeerFetchFailed{5157, "configuration_fetch_failed"};
 constexpr EventId kNodeObjectsIgnored{5158, "node_objects_ignored"};
+constexpr EventId kPackingFailed{5159, "configuration_packing_failed"};
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 
 /// Kind of the objects that hold the nodes' addresses.
 constexpr absl::string_view kNodesPrefix = "nodes/";
@@ -45,9 +57,13 @@
 constexpr absl::Duration kLastRetry = absl::Seconds(1);
 /// Longest time between two tries of an entry that has no configuration.
 constexpr absl::Duration kUnconfiguredRetry = absl::Milliseconds(150);
-/// Time-out of fetching a configuration from another node.
+/// Time-out of fetching a part of a configuration from another node: it takes
+/// 32 ms of a link of 2 Mbit/s, and an instance with a small share of a core
+/// may stand still for some 100 ms.
 constexpr absl::Duration kPeerTimeout = absl::Milliseconds(800);
-/// Least time between two fetches of an agent, which does not route and only
+/// Silence after which an answer of the store that has begun is given up.
+constexpr absl::Duration kStoreSilence = absl::Milliseconds(1000);
+/// Least time between two documents of an agent, which does not route and only
 /// keeps the configuration for entries that start while the store is away.
 constexpr absl::Duration kAgentFetchGap = absl::Seconds(1);
 constexpr absl::Duration kEntryFetchGap = absl::Milliseconds(100);
@@ -78,8 +94,19 @@
             options.counters->Find("skylarkshunt_configuration_revision",
                                    "Revision of the configuration in force.",
                                    MetricType::kGauge)),
+        parts_sent_(options.counters->Find(
+            "skylarkshunt_configuration_parts_sent_total",
+            "Parts of the configuration handed to other nodes.")),
+        parts_refused_(options.counters->Find(
+            "skylarkshunt_configuration_parts_refused_total",
+            "Parts not handed on, since the link is for callers first.")),
+        parts_received_(options.counters->Find(
+            "skylarkshunt_configuration_parts_received_total",
+            "Parts of the configuration that other nodes sent.")),
         notices_(kMaxRevisionNotices),
-        backoff_(kFirstRetry, kLastRetry, options.random_seed) {}
+        download_(options.random_seed),
+        backoff_(kFirstRetry, kLastRetry, options.random_seed),
+        budget_(options.node.link_bytes_per_second) {}
 
   ~StoreFollower() override {
     stop_.Notify();
@@ -98,13 +125,35 @@
     notices_.PushReplacingOldest({address, revision});
   }
 
-  std::string Document() const override {
+  HttpResponse AnswerPart(absl::string_view part) override {
+    HttpResponse response;
+    const std::vector<absl::string_view> fields = absl::StrSplit(part, '/');
+    uint64_t wanted = 0;
+    uint64_t offset = 0;
+    if (fields.size() != 2 || !absl::SimpleAtoi(fields[0], &wanted) ||
+        !absl::SimpleAtoi(fields[1], &offset)) {
+      response.status = kBadRequest;
+      return response;
+    }
     absl::MutexLock lock(&mutex_);
-    if (routes_ == nullptr)
-      return {};
-    const nlohmann::json document = {{"revision", ToNumber(revision_)},
-                                     {"body", body_}};
-    return document.dump();
+    if (!PackLocked()) {
+      response.status = kUnavailable;
+      return response;
+    }
+    if (!budget_.Take(kChunkBytes, offset, MonotonicNow())) {
+      parts_refused_.Increment();
+      response.status = kTooManyRequests;
+      return response;
+    }
+    // A document that was replaced is handed on until the next change, so that
+    // a node that has begun to take it can end.
+    const bool former = former_.revision == Revision{wanted};
+    const bool present = packed_.revision == Revision{wanted};
+    response.content_type = "application/octet-stream";
+    response.body =
+        EncodeChunk(former ? former_ : packed_, former || present ? offset : 0);
+    parts_sent_.Increment();
+    return response;
   }
 
   std::shared_ptr<const RouteTable> routes() const override {
@@ -120,10 +169,31 @@
     return revision_;
   }
 
+  /// Compresses the configuration held unless that was done before. Returns
+  /// false while there is none.
+  bool PackLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    if (routes_ == nullptr)
+      return false;
+    if (packed_.revision == revision_)
+      return true;
+    Result<PackedDocument> packed = PackDocument(revision_, body_);
+    if (!packed.has_value()) {
+      LogLine(kPackingFailed, Severity::kError)
+          .Field("revision", ToNumber(revision_))
+          .Field("error", packed.error().ToString());
+      return false;
+    }
+    former_ = std::exchange(packed_, std::move(packed).value());
+    body_.clear();
+    return true;
+  }
+
   /// Puts a configuration into force unless it is older than the one held.
+  /// `packed` is its compressed form where it came so.
   void Adopt(Revision revision,
              const std::string& body,
-             absl::string_view source) {
+             absl::string_view source,
+             absl::optional<PackedDocument> packed = absl::nullopt) {
     absl::MutexLock lock(&mutex_);
     if (ToNumber(revision) <= ToNumber(revision_))
       return;
@@ -142,6 +212,10 @@
     revision_ = revision;
     body_ = body;
     routes_ = routes;
+    if (packed.has_value()) {
+      former_ = std::exchange(packed_, *std::move(packed));
+      body_.clear();
+    }
     revision_gauge_.Set(ToNumber(revision));
     LogLine(kConfigurationInForce)
         .Field("revision", ToNumber(revision))
@@ -328,48 +402,77 @@
   }
 
   void RunPeers() {
+    absl::Time next_document = absl::InfinitePast();
     while (!stop_.HasBeenNotified()) {
-      const absl::optional<RevisionNotice> notice =
-          notices_.Pop(kPeerStopCheck);
-      if (!notice.has_value() ||
-          ToNumber(notice->revision) <= ToNumber(revision())) {
+      const absl::Time now = MonotonicNow();
+      const absl::Time next =
+          std::max(next_document, download_.next_time(revision()));
+      const absl::Duration wait =
+          std::max(absl::ZeroDuration(), std::min(kPeerStopCheck, next - now));
+      absl::optional<RevisionNotice> notice =
+          wait > absl::ZeroDuration() ? notices_.Pop(wait) : notices_.TryPop();
+      while (notice.has_value()) {
+        download_.OnOffer(notice->address, notice->revision);
+        notice = notices_.TryPop();
+      }
+      if (MonotonicNow() < next_document)
         continue;
+      const absl::optional<DocumentDownload::Request> request =
+          download_.Next(revision(), MonotonicNow());
+      if (request.has_value() && Fetch(*request)) {
+        next_document =
+            MonotonicNow() + (is_entry() ? kEntryFetchGap : kAgentFetchGap);
       }
-      Fetch(*notice);
-      Sleep(is_entry() ? kEntryFetchGap : kAgentFetchGap);
     }
   }
 
-  void Fetch(const RevisionNotice& notice) {
+  /// Asks a node for a part of its configuration. Returns whether a document is
+  /// complete with it.
+  bool Fetch(const DocumentDownload::Request& request) {
     HttpCall call;
-    call.server = {notice.address, options_.node.peers.port};
-    call.target = "/configuration";
+    call.server = {request.node, options_.node.peers.port};
+    call.target = absl::StrCat(kConfigurationPath, ToNumber(request.revision),
+                               "/", request.offset);
     call.timeout = kPeerTimeout;
-    call.max_answer_bytes = kMaxDocumentBytes;
+    call.max_answer_bytes = 2 * kChunkBytes;
     const Result<HttpAnswer> answer = Call(call);
-    constexpr int kOk = 200;
+    if (answer.has_value() && answer.value().status == kTooManyRequests) {
+      download_.OnBusy(request.node, MonotonicNow());
+      return false;
+    }
     if (!answer.has_value() || answer.value().status != kOk) {
-      LogLine(kPeerFetchFailed, Severity::kWarning)
-          .Field("node", call.server.ToString())
-          .Field("error", answer.has_value()
-                              ? absl::StrCat("status ", answer.value().status)
-                              : answer.error().ToString());
-      return;
+      NoteFetchFailed(request.node,
+                      answer.has_value()
+                          ? absl::StrCat("status ", answer.value().status)
+                          : answer.error().ToString());
+      return false;
     }
-    const nlohmann::json document =
-        nlohmann::json::parse(answer.value().body, nullptr, false);
-    const bool valid = document.is_object() && document.contains("revision") &&
-                       document["revision"].is_number_unsigned() &&
-                       document.contains("body") &&
-                       document["body"].is_string();
-    if (!valid) {
-      LogLine(kPeerFetchFailed, Severity::kWarning)
-          .Field("node", call.server.ToString())
-          .Field("error", "the answer holds no configuration");
-      return;
+    const Result<DocumentChunk> chunk = DecodeChunk(answer.value().body);
+    if (!chunk.has_value()) {
+      NoteFetchFailed(request.node, chunk.error().ToString());
+      return false;
+    }
+    parts_received_.Increment();
+    absl::optional<PackedDocument> document =
+        download_.OnChunk(request.node, chunk.value());
+    if (!document.has_value())
+      return false;
+    const Result<std::string> body = UnpackDocument(*document);
+    if (!body.has_value()) {
+      NoteFetchFailed(request.node, body.error().ToString());
+      return false;
     }
-    Adopt(Revision{document["revision"].get<uint64_t>()},
-          document["body"].get<std::string>(), call.server.ToString());
+    const Revision revision = document->revision;
+    Adopt(revision, body.value(), call.server.ToString(), std::move(document));
+    return true;
+  }
+
+  void NoteFetchFailed(uint32_t node, const std::string& error) {
+    download_.OnFailure(node, MonotonicNow());
+    LogLine(kPeerFetchFailed, Severity::kWarning)
+        .Field("node", Endpoint{node, options_.node.peers.port}.ToString())
+        .Field("received_bytes", download_.received_bytes())
+        .Field("error", error);
   }
 
   /// Time between two lists while no other node is heard.
@@ -378,9 +481,6 @@
   static constexpr absl::Duration kAgentCheckInterval = absl::Seconds(2);
   /// Time between two looks whether the thread is to end.
   static constexpr absl::Duration kPeerStopCheck = absl::Seconds(1);
-  /// Largest document of another node: an object of the store as a JSON string,
-  /// in which each byte may need two.
-  static constexpr size_t kMaxDocumentBytes = 2'200'000;
 
   const Options options_;
   /// Kind of the configuration's object, with its slash.
@@ -391,7 +491,12 @@
   Counter& calls_;
   Counter& failures_;
   Counter& revision_gauge_;
+  Counter& parts_sent_;
+  Counter& parts_refused_;
+  Counter& parts_received_;
   BoundedRing<RevisionNotice> notices_;
+  /// Belongs to the thread that asks other nodes.
+  DocumentDownload download_;
   // The next four belong to the store's thread.
   size_t ignored_objects_ = 0;
   Backoff backoff_;
@@ -399,7 +504,12 @@
   absl::Time lost_since_;
   mutable absl::Mutex mutex_;
   Revision revision_ ABSL_GUARDED_BY(mutex_){};
+  /// Empty once it is compressed.
   std::string body_ ABSL_GUARDED_BY(mutex_);
+  /// The configuration held and the one before it, for other nodes.
+  PackedDocument packed_ ABSL_GUARDED_BY(mutex_);
+  PackedDocument former_ ABSL_GUARDED_BY(mutex_);
+  TransferBudget budget_ ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<const RouteTable> routes_ ABSL_GUARDED_BY(mutex_);
   absl::Notification stop_;
   std::thread store_thread_;
@@ -413,6 +523,7 @@
   PlatformClient::Options client;
   client.platform = options.node.store;
   client.timeout = kStoreTimeout;
+  client.progress_timeout = kStoreSilence;
   BOOST_OUTCOME_TRY(store, PlatformClient::Create(client));
   client.timeout = kFirstTimeout;
   BOOST_OUTCOME_TRY(first, PlatformClient::Create(client));
--- a/lib/node/configuration_follower.h
+++ b/lib/node/configuration_follower.h
@@ -8,10 +8,14 @@
 #include "data_command.h"
 #include "skylarkshunt/base/counters.h"
 #include "skylarkshunt/base/error.h"
+#include "skylarkshunt/http/http_server.h"
 #include "skylarkshunt/node/node_options.h"
 
 namespace skylarkshunt {
 
+/// Where a node hands its configuration on, at its peer address.
+inline constexpr absl::string_view kConfigurationPath = "/configuration/";
+
 /// Keeps the configuration of a node: an entry follows the object store, and
 /// every node takes a newer one from the node that has it, so that a node that
 /// the store turns away is not left behind. The node also registers its address
@@ -41,9 +45,10 @@
   virtual void Start() = 0;
   /// A node holds a configuration of this revision.
   virtual void OnRevision(uint32_t address, Revision revision) = 0;
-  /// The configuration held, for other nodes: JSON with "revision" and "body".
-  /// Empty while there is none.
-  virtual std::string Document() const = 0;
+  /// Answers another node that asks for a part of the configuration held;
+  /// `part` is what follows kConfigurationPath: the revision that it wants, a
+  /// slash, and the position in the compressed document.
+  virtual HttpResponse AnswerPart(absl::string_view part) = 0;
   /// The configuration in force, or null.
   virtual std::shared_ptr<const RouteTable> routes() const = 0;
 };
--- a/lib/node/node_process.cc
+++ b/lib/node/node_process.cc
@@ -122,9 +122,9 @@
                           const CounterRegistry& counters) const {
     HttpResponse response;
     absl::string_view flow = request.target;
-    if (request.target == "/configuration") {
-      response.body = follower_->Document();
-      response.status = response.body.empty() ? kUnavailable : response.status;
+    absl::string_view part = request.target;
+    if (absl::ConsumePrefix(&part, kConfigurationPath)) {
+      response = follower_->AnswerPart(part);
     } else if (request.target == "/node") {
       response.body = board_.ToJson(name_);
       response.status = response.body.empty() ? kUnavailable : response.status;
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -13,6 +13,7 @@
   libgoogle-glog-dev
   libcppunit-dev
   libxxhash-dev
+  libzstd-dev
   libplplot-dev
 )
 
--- /dev/null
+++ b/unittests/documents/document_transfer_test.cc
@@ -0,0 +1,286 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "skylarkshunt/documents/document_download.h"
+#include "skylarkshunt/documents/packed_document.h"
+
+namespace skylarkshunt {
+namespace {
+
+constexpr uint32_t kFirstNode = 0x0a000001;
+
+absl::Time At(int64_t ms) {
+  return absl::UnixEpoch() + absl::Seconds(1000) + absl::Milliseconds(ms);
+}
+
+/// Routes with addresses and names of their own, as operators write them.
+std::string Routes(size_t bytes) {
+  std::mt19937 random(7);
+  std::string text = R"({"version":1,"routes":[)";
+  while (text.size() < bytes) {
+    absl::StrAppend(&text, R"({"name":"route-)", random(),
+                    R"(","host":"198.18.)", random() % 256, ".", random() % 256,
+                    R"(","path-prefix":"/)", random() % 65536,
+                    R"(/","service":"s)", random() % 8,
+                    R"(","kind":"idempotent","timeout-ms":2500,)"
+                    R"("target-latency-ms":150,"priority":2},)");
+  }
+  text.resize(bytes);
+  return text;
+}
+
+PackedDocument Packed(uint64_t revision, absl::string_view body) {
+  return PackDocument(Revision{revision}, body).value();
+}
+
+/// Passes one part from `document` to `download`; returns the document when it
+/// is complete.
+absl::optional<PackedDocument> Pass(const PackedDocument& document,
+                                    const DocumentDownload::Request& request,
+                                    DocumentDownload& download) {
+  const std::string message = EncodeChunk(document, request.offset);
+  return download.OnChunk(request.node, DecodeChunk(message).value());
+}
+
+class DocumentTransferTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DocumentTransferTest);
+  CPPUNIT_TEST(DocumentIsTheSameAfterItsTransfer);
+  CPPUNIT_TEST(DamagedPartsAreRefused);
+  CPPUNIT_TEST(PartsOfAnotherDocumentAreNotJoined);
+  CPPUNIT_TEST(PartsThatCameAreKeptWhenTheirSenderFails);
+  CPPUNIT_TEST(StormOfChangesDoesNotBeginEachTransferAnew);
+  CPPUNIT_TEST(HalfOfTheLinkIsLeftToCallers);
+  CPPUNIT_TEST(HundredsOfNodesThatStartAtOnceOnSlowLinksAllGetIt);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void DocumentIsTheSameAfterItsTransfer() {
+    const std::string body = Routes(200'000);
+    const PackedDocument document = Packed(5, body);
+    CPPUNIT_ASSERT(document.packed.size() * 4 < body.size());
+    DocumentDownload download(1);
+    download.OnOffer(kFirstNode, Revision{5});
+    absl::optional<PackedDocument> received;
+    while (!received.has_value()) {
+      const auto request = download.Next(Revision{4}, At(0));
+      CPPUNIT_ASSERT(request.has_value());
+      received = Pass(document, *request, download);
+    }
+    CPPUNIT_ASSERT(UnpackDocument(*received).value() == body);
+    CPPUNIT_ASSERT(received->revision == Revision{5});
+    // Nothing is asked for that is held.
+    CPPUNIT_ASSERT(!download.Next(Revision{5}, At(1)).has_value());
+  }
+
+  // Guards against a configuration that was cut or changed on its way and is
+  // taken as whole.
+  void DamagedPartsAreRefused() {
+    const PackedDocument document = Packed(5, Routes(60'000));
+    const std::string message = EncodeChunk(document, 0);
+    for (const size_t size : {size_t{0}, size_t{1}, size_t{27}, size_t{28}})
+      CPPUNIT_ASSERT(!DecodeChunk(message.substr(0, size)).has_value());
+    CPPUNIT_ASSERT(!DecodeChunk(message + "x").has_value());
+    PackedDocument damaged = document;
+    damaged.packed[damaged.packed.size() / 2] ^= 1;
+    CPPUNIT_ASSERT(!UnpackDocument(damaged).has_value());
+    PackedDocument cut = document;
+    cut.packed.resize(cut.packed.size() - 1);
+    CPPUNIT_ASSERT(!UnpackDocument(cut).has_value());
+    PackedDocument longer = document;
+    longer.raw_bytes += 1;
+    CPPUNIT_ASSERT(!UnpackDocument(longer).has_value());
+  }
+
+  // Guards against a document that is half of one revision and half of another,
+  // when the node that sends it goes on to the next one meanwhile.
+  void PartsOfAnotherDocumentAreNotJoined() {
+    const PackedDocument first = Packed(5, Routes(120'000));
+    const std::string body = Routes(130'000);
+    const PackedDocument second = Packed(6, body);
+    DocumentDownload download(1);
+    download.OnOffer(kFirstNode, Revision{5});
+    Pass(first, *download.Next(Revision{4}, At(0)), download);
+    absl::optional<PackedDocument> received;
+    for (int i = 0; i < 100 && !received.has_value(); ++i)
+      received = Pass(second, *download.Next(Revision{4}, At(1)), download);
+    CPPUNIT_ASSERT(received.has_value());
+    CPPUNIT_ASSERT(UnpackDocument(*received).value() == body);
+  }
+
+  // Guards against a transfer on a slow link that begins anew with each node
+  // that does not answer in time, and so never ends.
+  void PartsThatCameAreKeptWhenTheirSenderFails() {
+    const PackedDocument document = Packed(5, Routes(400'000));
+    DocumentDownload download(1);
+    for (uint32_t node = 0; node < 40; ++node)
+      download.OnOffer(kFirstNode + node, Revision{5});
+    absl::optional<PackedDocument> received;
+    size_t asked = 0;
+    int64_t ms = 0;
+    // Each node sends one part and then falls silent.
+    while (!received.has_value() && asked < 200) {
+      const auto request = download.Next(Revision{4}, At(ms));
+      ms += 10;
+      if (!request.has_value())
+        continue;
+      ++asked;
+      received = Pass(document, *request, download);
+      if (!received.has_value())
+        download.OnFailure(request->node, At(ms));
+    }
+    CPPUNIT_ASSERT(received.has_value());
+    const size_t parts =
+        (document.packed.size() + kChunkBytes - 1) / kChunkBytes;
+    CPPUNIT_ASSERT_EQUAL(parts, asked);
+  }
+
+  // Guards against nodes that follow no version while each change comes before
+  // the last one has passed their link.
+  void StormOfChangesDoesNotBeginEachTransferAnew() {
+    const PackedDocument document = Packed(10, Routes(400'000));
+    DocumentDownload download(1);
+    download.OnOffer(kFirstNode, Revision{10});
+    absl::optional<PackedDocument> received;
+    size_t asked = 0;
+    for (uint64_t revision = 11; !received.has_value() && asked < 200;
+         ++revision) {
+      const auto request = download.Next(Revision{9}, At(0));
+      received = Pass(document, *request, download);
+      ++asked;
+      download.OnOffer(kFirstNode, Revision{revision});
+    }
+    CPPUNIT_ASSERT(received.has_value());
+    const size_t parts =
+        (document.packed.size() + kChunkBytes - 1) / kChunkBytes;
+    CPPUNIT_ASSERT_EQUAL(parts, asked);
+  }
+
+  // Guards against packets of callers that wait behind documents.
+  void HalfOfTheLinkIsLeftToCallers() {
+    constexpr uint64_t kLink = 250'000;
+    TransferBudget budget(kLink);
+    size_t sent = 0;
+    for (int64_t ms = 0; ms < 10'000; ++ms)
+      sent += budget.Take(kChunkBytes, kChunkBytes, At(ms)) ? kChunkBytes : 0;
+    CPPUNIT_ASSERT(sent <= 10 * kLink / 2 + 4 * kChunkBytes);
+    CPPUNIT_ASSERT(sent >= 10 * kLink / 2 - 4 * kChunkBytes);
+    TransferBudget unlimited(0);
+    for (int i = 0; i < 1000; ++i)
+      CPPUNIT_ASSERT(unlimited.Take(kChunkBytes, 0, At(0)));
+  }
+
+  // Thundering restart: 300 nodes on links of 2 Mbit/s start at once with a
+  // configuration of the greatest length that the store takes, and the store
+  // serves three of them only. Each node that has it hands it on with half of
+  // its link, so that the number of those who have it doubles in the time of
+  // one transfer at that rate; the bound allows half as much again for nodes
+  // that wait for their turn.
+  void HundredsOfNodesThatStartAtOnceOnSlowLinksAllGetIt() {
+    constexpr size_t kNodes = 300;
+    constexpr size_t kServedByStore = 3;
+    constexpr double kLink = 250'000;
+    const PackedDocument document = Packed(5, Routes(kMaxDocumentBytes));
+    const double transfer_s =
+        static_cast<double>(document.packed.size()) / (kLink / 2);
+    const double doublings = std::ceil(std::log2(kNodes / kServedByStore));
+    const auto bound_ms =
+        static_cast<int64_t>(1000 * 1.5 * doublings * transfer_s);
+    Fleet fleet(kNodes, kLink, document);
+    for (size_t i = 0; i < kServedByStore; ++i)
+      fleet.nodes[i].complete = true;
+    int64_t ms = 0;
+    while (fleet.Complete() < kNodes && ms < bound_ms)
+      fleet.Step(ms += Fleet::kStepMs);
+    CPPUNIT_ASSERT_EQUAL(kNodes, fleet.Complete());
+  }
+
+ private:
+  /// Nodes that offer and fetch one document over links of their own.
+  struct Fleet {
+    static constexpr int64_t kStepMs = 5;
+    /// Time between two reports of a node that say what it holds.
+    static constexpr int64_t kOfferMs = 500;
+
+    struct Node {
+      Node(uint64_t seed, double link)
+          : download(seed), budget(static_cast<uint64_t>(link)) {}
+      DocumentDownload download;
+      TransferBudget budget;
+      bool complete = false;
+      /// When both directions of its link are free again.
+      double sends_until = 0;
+      double receives_until = 0;
+      /// The answer on its way.
+      absl::optional<DocumentDownload::Request> asked;
+      double answer_at = 0;
+    };
+
+    Fleet(size_t count, double link, const PackedDocument& held)
+        : link_bytes(link), document(held) {
+      for (size_t i = 0; i < count; ++i)
+        nodes.emplace_back(i + 1, link);
+    }
+
+    size_t Complete() const {
+      return static_cast<size_t>(
+          std::count_if(nodes.begin(), nodes.end(),
+                        [](const Node& node) { return node.complete; }));
+    }
+
+    void Step(int64_t ms) {
+      for (size_t i = 0; i < nodes.size(); ++i) {
+        if (nodes[i].complete && ms % kOfferMs == 0)
+          Offer(i);
+        if (!nodes[i].complete)
+          Advance(nodes[i], ms);
+      }
+    }
+
+    void Offer(size_t from) {
+      for (Node& node : nodes)
+        node.download.OnOffer(kFirstNode + static_cast<uint32_t>(from),
+                              Revision{5});
+    }
+
+    void Advance(Node& node, int64_t ms) {
+      if (node.asked.has_value()) {
+        if (node.answer_at > static_cast<double>(ms))
+          return;
+        node.complete = Pass(document, *node.asked, node.download).has_value();
+        node.asked.reset();
+        if (node.complete)
+          return;
+      }
+      const auto request = node.download.Next(Revision{1}, At(ms));
+      if (!request.has_value())
+        return;
+      Node& source = nodes[request->node - kFirstNode];
+      if (!source.budget.Take(kChunkBytes, request->offset, At(ms))) {
+        node.download.OnBusy(request->node, At(ms));
+        return;
+      }
+      const double start = std::max(
+          {static_cast<double>(ms), source.sends_until, node.receives_until});
+      const double end = start + 1000.0 * kChunkBytes / link_bytes;
+      source.sends_until = end;
+      node.receives_until = end;
+      node.asked = request;
+      node.answer_at = end;
+    }
+
+    double link_bytes;
+    const PackedDocument& document;
+    std::vector<Node> nodes;
+  };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DocumentTransferTest);
+
+}  // namespace
+}  // namespace skylarkshunt
--- a/unittests/node/configuration_follower_test.cc
+++ b/unittests/node/configuration_follower_test.cc
@@ -9,6 +9,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 #include "platform/configuration_document.h"
+#include "skylarkshunt/documents/packed_document.h"
 #include "skylarkshunt/http/http_server.h"
 #include "standins/platform/platform_server.h"
 
@@ -121,8 +122,10 @@
     http.listeners.push_back(
         {Endpoint::Parse("127.0.0.2:0").value(), [](const HttpRequest&) {
            HttpResponse response;
-           response.body =
-               R"({"revision":77,"body":"{\"version\":6,\"routes\":[]}"})";
+           response.body = EncodeChunk(
+               PackDocument(Revision{77}, R"({"version":6,"routes":[]})")
+                   .value(),
+               0);
            return response;
          }});
     const auto other = std::move(HttpServer::Start(std::move(http)).value());
@@ -132,8 +135,11 @@
     follower_->OnRevision(address.address, Revision{77});
     CPPUNIT_ASSERT(received_.Await(6));
     // What it holds is handed on in turn.
-    CPPUNIT_ASSERT(follower_->Document().find("\"revision\":77") !=
-                   std::string::npos);
+    const HttpResponse handed_on = follower_->AnswerPart("77/0");
+    CPPUNIT_ASSERT(DecodeChunk(handed_on.body).value().revision ==
+                   Revision{77});
+    CPPUNIT_ASSERT_EQUAL(400, follower_->AnswerPart("77").status);
+    CPPUNIT_ASSERT_EQUAL(400, follower_->AnswerPart("x/0").status);
     // The store's older configuration is not taken when it is back.
     store_->core().SetFault(Fault{});
     for (int i = 0; i < 100; ++i)
