Place and find flows among a bounded set of candidates; report less in large fleets

Change: - An agent is found by its identity in constant time. - A flow is placed among six agents of the own data centre and six of the others, drawn by the flow's own order; all agents are looked at only where none of these accepts. A search asks eight of each side first. Services of up to 12 (16) agents are handled as before. - The busy slots of a report older than 150 ms are reduced by what the target has answered meanwhile. - Reports of entries are spread over 10 ms a node (at most 5 s), those of agents grow with the square of the entries above 50. A new configuration is told to eight entries, which pass it on. Presence follows the interval that a report names.

--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -2,6 +2,7 @@
 #define SKYLARKSHUNT_FORWARDING_AGENT_DIRECTORY_H_
 
 #include <cstdint>
+#include <memory>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -21,8 +22,8 @@
 inline constexpr absl::Duration kAgentSuspectAfter = absl::Milliseconds(500);
 
 /// Returns the time between two reports of an agent to each of `entries`. It
-/// grows with their number, so that an agent sends about 125 reports a second
-/// in all, up to a second. Thread-safe.
+/// grows with their number, so that an agent sends at most 125 reports a second
+/// in all, and fewer in fleets of many entries. Thread-safe.
 absl::Duration AgentReportInterval(size_t entries);
 /// Silence after which an agent is forgotten, and flows that nobody else holds
 /// are given up; longer than an agent needs to start again.
@@ -82,26 +83,43 @@
   /// Returns the agent, or null.
   AgentView* Find(InstanceUid uid);
   /// The agents of a service in no particular order; empty if there are none.
-  absl::Span<AgentView> OfService(ServiceUid service);
+  absl::Span<AgentView* const> OfService(ServiceUid service) const;
 
   /// Whether every agent of the service has been heard lately, so that "no
   /// agent holds the flow" is certain.
-  bool IsComplete(ServiceUid service, absl::Time now);
+  bool IsComplete(ServiceUid service, absl::Time now) const;
 
   /// Calls `visit` with each agent.
   template <typename Visitor>
   void ForEach(const Visitor& visit) const {
-    for (const auto& [service, agents] : agents_) {
-      for (const AgentView& agent : agents)
-        visit(agent);
-    }
+    for (const auto& [uid, agent] : agents_)
+      visit(*agent);
   }
 
  private:
-  absl::flat_hash_map<ServiceUid, std::vector<AgentView>> agents_;
-  absl::flat_hash_map<InstanceUid, ServiceUid> service_of_;
+  absl::flat_hash_map<InstanceUid, std::unique_ptr<AgentView>> agents_;
+  absl::flat_hash_map<ServiceUid, std::vector<AgentView*>> of_service_;
 };
 
+/// Most agents of the own data centre, and of the others, that one flow is
+/// placed on while any of them accepts it.
+inline constexpr size_t kCandidatesPerSide = 6;
+/// Most agents of either side that a search asks first: two more, for views
+/// that differ by agents that came or left.
+inline constexpr size_t kSearchedPerSide = 8;
+
+/// Appends the first agents in the order of a flow: up to `per_side` of the own
+/// data centre and up to `per_side` of the others, whatever their state. The
+/// order follows from the flow and the agents alone, so that all entries of a
+/// data centre have the same one, and an agent that comes or leaves moves the
+/// others by one place at most. All agents where there are no more than
+/// 2 * `per_side`.
+void AppendCandidates(absl::Span<AgentView* const> agents,
+                      uint64_t flow_hash,
+                      uint32_t data_centre,
+                      size_t per_side,
+                      std::vector<AgentView*>& candidates);
+
 /// What placement takes into account of one opening packet.
 struct PlacementRequest {
   ServiceUid service{};
@@ -121,9 +139,10 @@
   uint32_t wait_limit_us = 0;
 };
 
-/// Returns the agent with the lowest expected time to the first byte. An agent
-/// of the own data centre is preferred while it has a free slot. Nothing when
-/// no agent accepts flows. Precondition: `directory` outlives the result.
+/// Returns the agent with the lowest expected time to the first byte among the
+/// candidates of the flow, or among all where none of these accepts it. An
+/// agent of the own data centre is preferred while it has a free slot. Nothing
+/// when no agent accepts flows. Precondition: `directory` outlives the result.
 absl::optional<Placement> PlaceFlow(AgentDirectory& directory,
                                     const PlacementRequest& request,
                                     absl::Time now);
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/container/inlined_vector.h"
 #include "absl/time/time.h"
 #include "absl/types/span.h"
@@ -92,9 +93,14 @@
     ForwardedPacket message;
     std::vector<uint8_t> packet;
   };
+  /// The agents of a flow are being asked whether they hold it: first its
+  /// candidates, then all of them.
   struct Search {
     absl::Time started;
-    std::vector<InstanceUid> not_held;
+    bool all_asked = false;
+    absl::flat_hash_set<InstanceUid> asked;
+    /// Those asked that have not answered.
+    absl::flat_hash_set<InstanceUid> awaited;
   };
 
   void Open(const Route& route,
@@ -138,6 +144,18 @@
                   absl::Span<const uint8_t> packet,
                   absl::Time now,
                   EntryActions& actions);
+  /// Sends `packet` to the agents that the stage of the search asks.
+  void Ask(Search& search,
+           const Route& route,
+           const FlowId& flow,
+           absl::Span<const uint8_t> packet,
+           absl::Time now,
+           EntryActions& actions);
+  /// Whether every agent of the route's services has said that it does not hold
+  /// the flow, and none can be missing.
+  bool IsHeldNowhere(const Search& search,
+                     const Route& route,
+                     absl::Time now) const;
   void NoteNotHeld(const ReturnedPacket& returned,
                    const Route& route,
                    const FlowId& flow,
@@ -170,6 +188,8 @@
   uint64_t next_id_ = 1;
   /// Bytes of packets that Tick() placed again.
   std::vector<Unanswered> overdue_;
+  /// The agents that a search asks; kept for its memory.
+  std::vector<AgentView*> asked_;
 };
 
 }  // namespace skylarkshunt
--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -71,6 +71,8 @@
   uint64_t sequence = 0;
   Revision configuration{};
   bool leaving = false;
+  /// Time until the next report, in milliseconds.
+  uint16_t interval_ms = 0;
   /// Live nodes that the entry knows, a part of them where there are many.
   std::vector<NodeAddress> nodes;
 };
--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -1,10 +1,11 @@
 #include "skylarkshunt/forwarding/agent_directory.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
+#include <utility>
 
 #include "absl/container/inlined_vector.h"
-#include "skylarkshunt/base/hash.h"
 #include "skylarkshunt/forwarding/load_model.h"
 
 namespace skylarkshunt {
@@ -37,15 +38,22 @@
 constexpr int kMissedReports = 3;
 /// What each entry adds to the time between two reports.
 constexpr absl::Duration kIntervalPerEntry = absl::Milliseconds(8);
-/// An agent that is silent for three of these is noticed within the time that
-/// a client waits for its second copy to be answered elsewhere.
-constexpr absl::Duration kLongestReportInterval = absl::Seconds(1);
+/// Fleets with more entries have more agents too, and an entry hears all of
+/// them: from here on the interval grows with the square of the entries, so
+/// that the reports that an entry gets do not grow.
+constexpr size_t kManyEntries = 50;
+/// Reports are only for agents that an entry does not use: the others tell
+/// their load with each answer, and their silence is noticed by the first
+/// openings without one.
+constexpr absl::Duration kLongestReportInterval = absl::Seconds(5);
 /// Opening packets without an answer after which an agent counts as silent: one
 /// may be a lost datagram.
 constexpr uint32_t kUnansweredUntilSilent = 2;
 /// Most agents whose failing share decides the median.
 constexpr size_t kMedianAgents = 64;
-constexpr uint64_t kTieSeed = 0x746965;
+/// Age up to which the busy slots of a report stand for the present ones; about
+/// the longest interval in small fleets. Beyond it the target has worked on.
+constexpr absl::Duration kLoadFreshFor = absl::Milliseconds(150);
 
 struct Candidate {
   AgentView* agent = nullptr;
@@ -58,10 +66,35 @@
   }
 };
 
+/// Place of an agent in the order of a flow. Cheap, since it is taken for each
+/// agent of the service, and the same on every node and release.
+uint64_t OrderOf(InstanceUid agent, uint64_t flow_hash) {
+  uint64_t mixed = ToNumber(agent) ^ flow_hash;
+  mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9U;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebU;
+  return mixed ^ (mixed >> 31);
+}
+
 uint32_t Unreported(const AgentView& agent, absl::Time now) {
   return now - agent.last_sent < kUnreportedLifetime ? agent.unreported : 0;
 }
 
+/// Returns the load with the requests that the target is expected to hold now:
+/// of those that an old message told, it has answered some meanwhile. Otherwise
+/// an agent that was seen full once would get no flow until its next report.
+AgentLoad PresentLoad(const AgentView& agent, absl::Time now) {
+  AgentLoad load = agent.load;
+  const absl::Duration stale = now - agent.heard - kLoadFreshFor;
+  if (stale <= absl::ZeroDuration() || load.busy == 0)
+    return load;
+  const double answered =
+      load.slots *
+      absl::FDivDuration(stale, absl::Microseconds(ServiceTimeUs(load)));
+  load.busy =
+      answered >= load.busy ? 0 : static_cast<uint16_t>(load.busy - answered);
+  return load;
+}
+
 bool IsCandidate(const AgentView& agent,
                  const PlacementRequest& request,
                  absl::Time now) {
@@ -72,16 +105,16 @@
 
 /// Returns the median of the failing shares. Fewer than half of the targets can
 /// stand out, so that a burst or a fault behind all of them excludes nobody.
-uint64_t UsualFailingPermille(AgentDirectory& directory,
+uint64_t UsualFailingPermille(absl::Span<AgentView* const> agents,
                               const PlacementRequest& request,
                               absl::Time now) {
   absl::InlinedVector<uint16_t, kMedianAgents> shares;
   uint16_t largest = 0;
-  for (const AgentView& agent : directory.OfService(request.service)) {
-    if (!IsCandidate(agent, request, now) || shares.size() == kMedianAgents)
+  for (const AgentView* agent : agents) {
+    if (!IsCandidate(*agent, request, now) || shares.size() == kMedianAgents)
       continue;
-    shares.push_back(agent.load.failing_permille);
-    largest = std::max(largest, agent.load.failing_permille);
+    shares.push_back(agent->load.failing_permille);
+    largest = std::max(largest, agent->load.failing_permille);
   }
   if (largest <= kToleratedFailingPermille)
     return 0;
@@ -90,10 +123,64 @@
   return *median;
 }
 
+/// Places a flow on one of `agents`.
+absl::optional<Placement> PlaceAmong(absl::Span<AgentView* const> agents,
+                                     const PlacementRequest& request,
+                                     absl::Time now) {
+  uint64_t fastest_us = kNoLimit;
+  const uint64_t usual_failing = UsualFailingPermille(agents, request, now);
+  for (const AgentView* agent : agents) {
+    if (agent->load.service_time_us != 0 && IsCandidate(*agent, request, now))
+      fastest_us = std::min<uint64_t>(fastest_us, agent->load.service_time_us);
+  }
+  const uint64_t tolerated_us = fastest_us * kEqualServiceTimeMilli / 1000;
+  Candidate best;
+  Candidate second;
+  for (AgentView* agent : agents) {
+    if (!IsCandidate(*agent, request, now) || agent->load.slots == 0)
+      continue;
+    const uint32_t unreported = Unreported(*agent, now);
+    const AgentLoad load = PresentLoad(*agent, now);
+    Candidate candidate;
+    candidate.agent = agent;
+    candidate.wait_us = ExpectedWaitUs(load, unreported);
+    candidate.tie = OrderOf(agent->identity.uid, request.flow_hash);
+    candidate.cost_us = candidate.wait_us;
+    if (load.service_time_us > tolerated_us)
+      candidate.cost_us += load.service_time_us - fastest_us;
+    if (agent->identity.data_centre != request.data_centre)
+      candidate.cost_us += kRemoteCostUs;
+    const uint64_t failing = load.failing_permille;
+    if (failing > usual_failing + kToleratedFailingPermille)
+      candidate.cost_us += kFailureCostUs * (failing - usual_failing) / 1000;
+    candidate.cost_us +=
+        kOccupancyCostUs * (uint64_t{load.busy} + unreported) / load.slots;
+    if (best.agent == nullptr || candidate < best) {
+      second = best;
+      best = candidate;
+    } else if (second.agent == nullptr || candidate < second) {
+      second = candidate;
+    }
+  }
+  if (best.agent == nullptr)
+    return absl::nullopt;
+  Placement placement;
+  placement.agent = best.agent;
+  placement.wait_us = best.wait_us;
+  placement.wait_limit_us =
+      second.agent == nullptr || request.declined.size() >= kMaxDeclines
+          ? kNoLimit
+          : static_cast<uint32_t>(std::min<uint64_t>(
+                kNoLimit - 1, second.cost_us + kDeclineMarginUs));
+  return placement;
+}
+
 }  // namespace
 
 absl::Duration AgentReportInterval(size_t entries) {
-  return std::min(std::max(kAgentReportInterval, kIntervalPerEntry * entries),
+  const size_t factor = std::max(entries, kManyEntries);
+  return std::min(std::max(kAgentReportInterval,
+                           kIntervalPerEntry * entries * factor / kManyEntries),
                   kLongestReportInterval);
 }
 
@@ -113,13 +200,13 @@
                                  absl::Time now) {
   AgentView* known = Find(agent.uid);
   if (known == nullptr) {
-    service_of_[agent.uid] = agent.service;
-    AgentView view;
-    view.identity = agent;
-    view.endpoint = endpoint;
-    view.load = load;
-    view.heard = now;
-    agents_[agent.service].push_back(view);
+    auto view = std::make_unique<AgentView>();
+    view->identity = agent;
+    view->endpoint = endpoint;
+    view->load = load;
+    view->heard = now;
+    of_service_[agent.service].push_back(view.get());
+    agents_[agent.uid] = std::move(view);
     return AgentNews::kAppeared;
   }
   if (agent.incarnation < known->identity.incarnation)
@@ -166,95 +253,85 @@
 
 std::vector<AgentView> AgentDirectory::ForgetSilent(absl::Time now) {
   std::vector<AgentView> forgotten;
-  for (auto& [service, agents] : agents_) {
+  for (auto& [service, agents] : of_service_) {
     const auto silent = std::stable_partition(
-        agents.begin(), agents.end(), [now](const AgentView& agent) {
-          return now - agent.heard < kAgentForgottenAfter;
+        agents.begin(), agents.end(), [now](const AgentView* agent) {
+          return now - agent->heard <
+                 std::max(kAgentForgottenAfter, 2 * agent->suspect_after);
         });
-    for (auto agent = silent; agent != agents.end(); ++agent) {
-      service_of_.erase(agent->identity.uid);
-      forgotten.push_back(*agent);
-    }
+    for (auto agent = silent; agent != agents.end(); ++agent)
+      forgotten.push_back(**agent);
     agents.erase(silent, agents.end());
   }
+  for (const AgentView& agent : forgotten)
+    agents_.erase(agent.identity.uid);
   return forgotten;
 }
 
 AgentView* AgentDirectory::Find(InstanceUid uid) {
-  const auto service = service_of_.find(uid);
-  if (service == service_of_.end())
-    return nullptr;
-  for (AgentView& agent : agents_[service->second]) {
-    if (agent.identity.uid == uid)
-      return &agent;
-  }
-  return nullptr;
+  const auto found = agents_.find(uid);
+  return found == agents_.end() ? nullptr : found->second.get();
 }
 
-absl::Span<AgentView> AgentDirectory::OfService(ServiceUid service) {
-  const auto agents = agents_.find(service);
-  if (agents == agents_.end())
+absl::Span<AgentView* const> AgentDirectory::OfService(
+    ServiceUid service) const {
+  const auto agents = of_service_.find(service);
+  if (agents == of_service_.end())
     return {};
-  return absl::MakeSpan(agents->second);
+  return agents->second;
 }
 
-bool AgentDirectory::IsComplete(ServiceUid service, absl::Time now) {
-  const absl::Span<AgentView> agents = OfService(service);
-  return std::all_of(agents.begin(), agents.end(), [now](const AgentView& a) {
-    return a.load.state == InstanceState::kDown || IsHeard(a, now);
+bool AgentDirectory::IsComplete(ServiceUid service, absl::Time now) const {
+  const absl::Span<AgentView* const> agents = OfService(service);
+  return std::all_of(agents.begin(), agents.end(), [now](const AgentView* a) {
+    return a->load.state == InstanceState::kDown || IsHeard(*a, now);
   });
 }
 
-absl::optional<Placement> PlaceFlow(AgentDirectory& directory,
-                                    const PlacementRequest& request,
-                                    absl::Time now) {
-  uint64_t fastest_us = kNoLimit;
-  const uint64_t usual_failing = UsualFailingPermille(directory, request, now);
-  for (const AgentView& agent : directory.OfService(request.service)) {
-    if (agent.load.service_time_us != 0 && IsCandidate(agent, request, now))
-      fastest_us = std::min<uint64_t>(fastest_us, agent.load.service_time_us);
+void AppendCandidates(absl::Span<AgentView* const> agents,
+                      uint64_t flow_hash,
+                      uint32_t data_centre,
+                      size_t per_side,
+                      std::vector<AgentView*>& candidates) {
+  if (agents.size() <= 2 * per_side) {
+    candidates.insert(candidates.end(), agents.begin(), agents.end());
+    return;
   }
-  const uint64_t tolerated_us = fastest_us * kEqualServiceTimeMilli / 1000;
-  Candidate best;
-  Candidate second;
-  for (AgentView& agent : directory.OfService(request.service)) {
-    if (!IsCandidate(agent, request, now) || agent.load.slots == 0)
+  // The first agents of either side so far, as max-heaps by their order.
+  using Ordered = std::pair<uint64_t, AgentView*>;
+  std::array<absl::InlinedVector<Ordered, kSearchedPerSide + 1>, 2> sides;
+  for (AgentView* agent : agents) {
+    auto& side = sides[agent->identity.data_centre == data_centre ? 0 : 1];
+    const uint64_t order = OrderOf(agent->identity.uid, flow_hash);
+    if (side.size() == per_side && order >= side.front().first)
       continue;
-    const uint32_t unreported = Unreported(agent, now);
-    Candidate candidate;
-    candidate.agent = &agent;
-    candidate.wait_us = ExpectedWaitUs(agent.load, unreported);
-    candidate.tie =
-        StableHash(ToNumber(agent.identity.uid) ^ request.flow_hash, kTieSeed);
-    candidate.cost_us = candidate.wait_us;
-    if (agent.load.service_time_us > tolerated_us)
-      candidate.cost_us += agent.load.service_time_us - fastest_us;
-    if (agent.identity.data_centre != request.data_centre)
-      candidate.cost_us += kRemoteCostUs;
-    const uint64_t failing = agent.load.failing_permille;
-    if (failing > usual_failing + kToleratedFailingPermille)
-      candidate.cost_us += kFailureCostUs * (failing - usual_failing) / 1000;
-    candidate.cost_us += kOccupancyCostUs *
-                         (uint64_t{agent.load.busy} + unreported) /
-                         agent.load.slots;
-    if (best.agent == nullptr || candidate < best) {
-      second = best;
-      best = candidate;
-    } else if (second.agent == nullptr || candidate < second) {
-      second = candidate;
+    side.emplace_back(order, agent);
+    std::push_heap(side.begin(), side.end());
+    if (side.size() > per_side) {
+      std::pop_heap(side.begin(), side.end());
+      side.pop_back();
     }
   }
-  if (best.agent == nullptr)
-    return absl::nullopt;
-  Placement placement;
-  placement.agent = best.agent;
-  placement.wait_us = best.wait_us;
-  placement.wait_limit_us =
-      second.agent == nullptr || request.declined.size() >= kMaxDeclines
-          ? kNoLimit
-          : static_cast<uint32_t>(std::min<uint64_t>(
-                kNoLimit - 1, second.cost_us + kDeclineMarginUs));
-  return placement;
+  for (const auto& side : sides) {
+    for (const Ordered& ordered : side)
+      candidates.push_back(ordered.second);
+  }
+}
+
+absl::optional<Placement> PlaceFlow(AgentDirectory& directory,
+                                    const PlacementRequest& request,
+                                    absl::Time now) {
+  const absl::Span<AgentView* const> agents =
+      directory.OfService(request.service);
+  std::vector<AgentView*> candidates;
+  candidates.reserve(2 * kCandidatesPerSide);
+  AppendCandidates(agents, request.flow_hash, request.data_centre,
+                   kCandidatesPerSide, candidates);
+  const absl::optional<Placement> placement =
+      PlaceAmong(candidates, request, now);
+  if (placement.has_value() || candidates.size() == agents.size())
+    return placement;
+  return PlaceAmong(agents, request, now);
 }
 
 }  // namespace skylarkshunt
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -15,6 +15,9 @@
 /// Age of an unfinished search at which it is forgotten: a client has sent
 /// several copies by then.
 constexpr absl::Duration kSearchLifetime = absl::Seconds(3);
+/// Time that the candidates of a flow have to answer a search; with the next
+/// packet after it all agents are asked.
+constexpr absl::Duration kCandidatesAnswerTime = absl::Milliseconds(60);
 /// Flows are kept this long beyond their last packet at least, even if the
 /// configuration says less.
 constexpr absl::Duration kMinIdleTime = absl::Seconds(2);
@@ -302,21 +305,58 @@
                                 absl::Span<const uint8_t> packet,
                                 absl::Time now,
                                 EntryActions& actions) {
-  if (searches_.size() < kMaxSearches) {
-    const bool started = searches_.try_emplace(flow, Search{now, {}}).second;
-    if (started)
-      actions.decisions.push_back(
-          MakeDecision(DecisionKind::kSearched, flow, "not_cached"));
+  const auto found = searches_.find(flow);
+  if (found != searches_.end()) {
+    // Its candidates do not hold it, or one of them is silent.
+    if (now - found->second.started > kCandidatesAnswerTime)
+      found->second.all_asked = true;
+    // All have answered to an earlier packet, and it was not certain then.
+    if (found->second.awaited.empty())
+      found->second.asked.clear();
+    Ask(found->second, route, flow, packet, now, actions);
+    return;
+  }
+  if (searches_.size() >= kMaxSearches) {
+    Search uncounted;
+    uncounted.all_asked = true;
+    Ask(uncounted, route, flow, packet, now, actions);
+    return;
   }
+  actions.decisions.push_back(
+      MakeDecision(DecisionKind::kSearched, flow, "not_cached"));
+  Search& search = searches_[flow];
+  search.started = now;
+  Ask(search, route, flow, packet, now, actions);
+}
+
+void EntryForwarder::Ask(Search& search,
+                         const Route& route,
+                         const FlowId& flow,
+                         absl::Span<const uint8_t> packet,
+                         absl::Time now,
+                         EntryActions& actions) {
   ForwardedPacket message;
   message.mode = ForwardMode::kSearch;
   message.kind = route.kind;
   message.packet = packet;
   for (const RouteShare& share : route.shares) {
     message.service = share.service;
-    for (const AgentView& agent : agents_.OfService(share.service)) {
-      if (agent.load.state != InstanceState::kDown)
-        actions.to_agents.push_back({agent.endpoint, message});
+    const absl::Span<AgentView* const> agents =
+        agents_.OfService(share.service);
+    asked_.clear();
+    if (search.all_asked)
+      asked_.assign(agents.begin(), agents.end());
+    else
+      AppendCandidates(agents, StableFlowHash(flow), data_centre_,
+                       kSearchedPerSide, asked_);
+    for (const AgentView* agent : asked_) {
+      if (agent->load.state == InstanceState::kDown)
+        continue;
+      actions.to_agents.push_back({agent->endpoint, message});
+      // An answer of a silent candidate is not waited for before all are asked.
+      const bool expected = search.all_asked || IsHeard(*agent, now);
+      if (search.asked.insert(agent->identity.uid).second && expected)
+        search.awaited.insert(agent->identity.uid);
     }
   }
 }
@@ -388,24 +428,19 @@
   const auto found = searches_.find(flow);
   if (found == searches_.end())
     return;
-  auto& not_held = found->second.not_held;
-  if (std::find(not_held.begin(), not_held.end(), returned.agent.uid) ==
-      not_held.end()) {
-    not_held.push_back(returned.agent.uid);
-  }
-  if (now - started_ < kSettleTime)
+  Search& search = found->second;
+  const bool awaited = search.awaited.erase(returned.agent.uid) > 0;
+  if (!awaited || !search.awaited.empty())
     return;
-  for (const RouteShare& share : route.shares) {
-    if (!agents_.IsComplete(share.service, now))
+  if (!search.all_asked) {
+    search.all_asked = true;
+    const size_t asked = search.asked.size();
+    Ask(search, route, flow, returned.packet, now, actions);
+    if (search.asked.size() > asked)
       return;
-    for (const AgentView& agent : agents_.OfService(share.service)) {
-      const bool answered = agent.load.state == InstanceState::kDown ||
-                            std::find(not_held.begin(), not_held.end(),
-                                      agent.identity.uid) != not_held.end();
-      if (!answered)
-        return;
-    }
   }
+  if (!IsHeldNowhere(search, route, now))
+    return;
   searches_.erase(found);
   if (header.reset)
     return;
@@ -414,6 +449,23 @@
       MakeDecision(DecisionKind::kCut, flow, "no_target_holds_it"));
 }
 
+bool EntryForwarder::IsHeldNowhere(const Search& search,
+                                   const Route& route,
+                                   absl::Time now) const {
+  if (now - started_ < kSettleTime)
+    return false;
+  for (const RouteShare& share : route.shares) {
+    if (!agents_.IsComplete(share.service, now))
+      return false;
+    for (const AgentView* agent : agents_.OfService(share.service)) {
+      if (agent->load.state != InstanceState::kDown &&
+          !search.asked.contains(agent->identity.uid))
+        return false;
+    }
+  }
+  return true;
+}
+
 void EntryForwarder::OnPlaced(const FlowPlaced& placed,
                               Endpoint agent,
                               absl::Time now,
--- a/lib/forwarding/node_codec.cc
+++ b/lib/forwarding/node_codec.cc
@@ -7,7 +7,7 @@
 namespace skylarkshunt {
 namespace {
 
-constexpr uint8_t kVersion = 2;
+constexpr uint8_t kVersion = 3;
 
 /// First byte after the version, one per alternative of NodeMessage.
 enum class Type : uint8_t {
@@ -176,6 +176,7 @@
     writer.Number(report.sequence);
     writer.Identity(report.configuration);
     writer.Number(static_cast<uint8_t>(report.leaving));
+    writer.Number(report.interval_ms);
     const size_t count = std::min(report.nodes.size(), kMaxReportedNodes);
     writer.Number(static_cast<uint8_t>(count));
     for (size_t i = 0; i < count; ++i) {
@@ -230,6 +231,7 @@
   report.sequence = reader.Number<uint64_t>();
   report.configuration = reader.Identity<Revision>();
   report.leaving = reader.Number<uint8_t>() != 0;
+  report.interval_ms = reader.Number<uint16_t>();
   const size_t count = reader.Number<uint8_t>();
   if (count > kMaxReportedNodes) {
     reader.Fail();
--- a/lib/forwarding/node_directory.cc
+++ b/lib/forwarding/node_directory.cc
@@ -1,6 +1,7 @@
 #include "skylarkshunt/forwarding/node_directory.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace skylarkshunt {
 namespace {
@@ -17,15 +18,35 @@
 /// Silence after which an address is forgotten. A machine that starts again
 /// makes itself known.
 constexpr absl::Duration kForgottenAfter = absl::Seconds(60);
+/// Time between two looks at all nodes for those that are due.
+constexpr absl::Duration kLookInterval = absl::Milliseconds(10);
+/// Least and longest time between two reports of an entry to a present node,
+/// and what each node adds.
+constexpr absl::Duration kShortestEntryInterval = absl::Milliseconds(500);
+constexpr absl::Duration kLongestEntryInterval = absl::Seconds(5);
+constexpr absl::Duration kEntryIntervalPerNode = absl::Milliseconds(10);
+/// Reports that may be missing before a node counts as absent.
+constexpr int kMissedReports = 3;
+/// Fleets up to this size are told news directly.
+constexpr size_t kFewNodes = 40;
+/// Entries that get news from one entry in a larger fleet. Each of them passes
+/// it on, so that hundreds have it after three steps.
+constexpr size_t kNewsFanout = 8;
 
 }  // namespace
 
+absl::Duration EntryReportInterval(size_t nodes) {
+  return std::min(
+      std::max(kShortestEntryInterval, kEntryIntervalPerNode * nodes),
+      kLongestEntryInterval);
+}
+
 NodeDirectory::NodeDirectory(Role self,
                              uint32_t address,
                              absl::Duration interval,
                              absl::Span<const uint32_t> seeds,
                              absl::Time now)
-    : self_(self), address_(address), interval_(interval) {
+    : self_(self), address_(address), interval_(interval), random_(address) {
   for (const uint32_t seed : seeds) {
     Learn({seed, Role::kEntry}, now);
     const auto known = nodes_.find(seed);
@@ -46,33 +67,39 @@
   known.role = node.role;
   known.learned = now;
   known.due = now;
-  nodes_.try_emplace(node.address, known);
+  if (nodes_.try_emplace(node.address, known).second)
+    next_look_ = absl::InfinitePast();
 }
 
-bool NodeDirectory::Heard(NodeAddress node, absl::Time now) {
+bool NodeDirectory::Heard(NodeAddress node,
+                          absl::Time now,
+                          absl::Duration interval) {
   Learn(node, now);
   const auto found = nodes_.find(node.address);
   if (found == nodes_.end())
     return false;
   Known& known = found->second;
   known.role = node.role;
-  const bool absent = now - known.heard > kNodePresentFor;
+  const bool absent = !IsPresent(known, now);
   known.heard = now;
+  known.present_for = std::max(kNodePresentFor, kMissedReports * interval);
   if (absent) {
     known.due = now;
     known.appeared = now;
+    next_look_ = absl::InfinitePast();
   }
   return absent;
 }
 
 absl::Duration NodeDirectory::IntervalOf(const Known& known,
                                          absl::Time now) const {
-  if (now - known.heard <= kNodePresentFor)
+  if (IsPresent(known, now))
     return interval_;
   return now - known.learned <= kEagerTime ? kEagerInterval : kSilentInterval;
 }
 
 void NodeDirectory::TakeDue(absl::Time now, std::vector<uint32_t>& due) {
+  next_look_ = now + kLookInterval;
   for (auto& [address, known] : nodes_) {
     if (known.due > now)
       continue;
@@ -84,6 +111,26 @@
 void NodeDirectory::MakeAllDue() {
   for (auto& [address, known] : nodes_)
     known.due = absl::InfinitePast();
+  next_look_ = absl::InfinitePast();
+}
+
+void NodeDirectory::MakeSomeDue(absl::Time now) {
+  if (nodes_.size() <= kFewNodes) {
+    MakeAllDue();
+    return;
+  }
+  std::vector<uint32_t> entries;
+  for (const auto& [address, known] : nodes_) {
+    if (known.role == Role::kEntry && IsPresent(known, now))
+      entries.push_back(address);
+  }
+  std::sort(entries.begin(), entries.end());
+  std::vector<uint32_t> chosen;
+  std::sample(entries.begin(), entries.end(), std::back_inserter(chosen),
+              kNewsFanout, random_);
+  for (const uint32_t address : chosen)
+    nodes_.at(address).due = absl::InfinitePast();
+  next_look_ = absl::InfinitePast();
 }
 
 void NodeDirectory::ForgetSilent(absl::Time now) {
@@ -98,7 +145,7 @@
                                                 size_t limit) const {
   std::vector<NodeAddress> present;
   for (const auto& [address, known] : nodes_) {
-    if (now - known.heard <= kNodePresentFor)
+    if (IsPresent(known, now))
       present.push_back({address, known.role});
   }
   std::stable_partition(
@@ -134,9 +181,14 @@
 size_t NodeDirectory::CountPresentEntries(absl::Time now) const {
   return static_cast<size_t>(
       std::count_if(nodes_.begin(), nodes_.end(), [now](const auto& node) {
-        return node.second.role == Role::kEntry &&
-               now - node.second.heard <= kNodePresentFor;
+        return node.second.role == Role::kEntry && IsPresent(node.second, now);
       }));
 }
 
+size_t NodeDirectory::CountPresent(absl::Time now) const {
+  return static_cast<size_t>(std::count_if(
+      nodes_.begin(), nodes_.end(),
+      [now](const auto& node) { return IsPresent(node.second, now); }));
+}
+
 }  // namespace skylarkshunt
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -117,7 +117,8 @@
 
     void operator()(const EntryReport& report) const {
       loop.NoteHeard(now);
-      loop.nodes_.Heard({source.address, Role::kEntry}, now);
+      loop.nodes_.Heard({source.address, Role::kEntry}, now,
+                        absl::Milliseconds(report.interval_ms));
       for (const NodeAddress& node : report.nodes)
         loop.nodes_.Learn(node, now);
       if (ToNumber(report.configuration) > ToNumber(loop.configuration_))
@@ -215,6 +216,8 @@
   }
 
   void SendReports(absl::Time now) {
+    if (!nodes_.IsReportTime(now))
+      return;
     due_.clear();
     const absl::Duration interval =
         AgentReportInterval(nodes_.CountPresentEntries(now));
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -17,8 +17,6 @@
 constexpr EventId kSuspended{1011, "process_was_suspended"};
 constexpr EventId kReady{2114, "entry_ready"};
 
-/// Time between two reports of an entry to a node that is present.
-constexpr absl::Duration kEntryReportInterval = absl::Milliseconds(500);
 /// Addresses in a usual report, 5 bytes each: small against the report itself,
 /// and a fleet of 300 nodes is told in turn within some 13 s.
 constexpr size_t kUsualReportedNodes = 24;
@@ -48,7 +46,7 @@
             started_),
         nodes_(Role::kEntry,
                options.node.peers.address,
-               kEntryReportInterval,
+               EntryReportInterval(0),
                options.node.seeds,
                started_) {
     self_.uid = MakeEntryUid(options.node.data.ToString());
@@ -66,7 +64,7 @@
     void operator()(const ConfigurationInForce& configuration) const {
       loop.forwarder_.SetRoutes(configuration.routes);
       loop.self_.configuration = configuration.revision;
-      loop.nodes_.MakeAllDue();
+      loop.nodes_.MakeSomeDue(now);
     }
     void operator()(const NodeAddress& node) const {
       loop.nodes_.Learn(node, now);
@@ -89,14 +87,14 @@
     absl::Time now;
 
     void operator()(const AgentReport& report) const {
-      loop.NoteNode({source.address, Role::kAgent}, now);
+      loop.NoteNode({source.address, Role::kAgent}, report.interval_ms, now);
       const AgentNews news =
           loop.forwarder_.agents().UpdateFromReport(report, source, now);
       loop.LogNews(news, report.agent, report.load, source);
       loop.NoteRevision(source.address, report.configuration);
     }
     void operator()(const EntryReport& report) const {
-      loop.NoteNode({source.address, Role::kEntry}, now);
+      loop.NoteNode({source.address, Role::kEntry}, report.interval_ms, now);
       for (const NodeAddress& node : report.nodes)
         loop.nodes_.Learn(node, now);
       loop.NoteRevision(source.address, report.configuration);
@@ -150,8 +148,9 @@
     actions_.Clear();
   }
 
-  void NoteNode(NodeAddress node, absl::Time now) {
-    const bool appeared = nodes_.Heard(node, now);
+  void NoteNode(NodeAddress node, uint16_t interval_ms, absl::Time now) {
+    const bool appeared =
+        nodes_.Heard(node, now, absl::Milliseconds(interval_ms));
     NoteHeard(now);
     if (!appeared)
       return;
@@ -185,6 +184,13 @@
   }
 
   void SendReports(absl::Time now) {
+    if (!nodes_.IsReportTime(now))
+      return;
+    const absl::Duration interval =
+        EntryReportInterval(nodes_.CountPresent(now));
+    nodes_.SetInterval(interval);
+    self_.interval_ms =
+        static_cast<uint16_t>(absl::ToInt64Milliseconds(interval));
     due_.clear();
     nodes_.TakeDue(now, due_);
     if (due_.empty())
