Read only the sockets that the poll names

Cause: a round of a data thread made seven system calls for one packet, three of them on sockets without anything to read; each is charged about as much as the decision about the packet.

--- a/include/skylarkshunt/net/poller.h
+++ b/include/skylarkshunt/net/poller.h
@@ -1,6 +1,8 @@
 #ifndef SKYLARKSHUNT_NET_POLLER_H_
 #define SKYLARKSHUNT_NET_POLLER_H_
 
+#include <cstdint>
+
 #include "absl/time/time.h"
 #include "absl/types/span.h"
 #include "skylarkshunt/base/error.h"
@@ -35,6 +37,10 @@
 /// passed. Returns whether one is readable. Thread-safe.
 bool WaitReadable(absl::Span<const int> fds, absl::Duration timeout);
 
+/// As WaitReadable(), but returns which ones are readable: bit i stands for
+/// fds[i]. Thread-safe.
+uint32_t WaitReadableSet(absl::Span<const int> fds, absl::Duration timeout);
+
 /// The time for all decisions: wall-clock time at the first call plus the time
 /// passed since on a clock that never steps and goes on while the process or
 /// the instance is suspended (CLOCK_BOOTTIME). Close to the wall clock, because
--- a/lib/net/poller.cc
+++ b/lib/net/poller.cc
@@ -57,6 +57,10 @@
 }
 
 bool WaitReadable(absl::Span<const int> fds, absl::Duration timeout) {
+  return WaitReadableSet(fds, timeout) != 0;
+}
+
+uint32_t WaitReadableSet(absl::Span<const int> fds, absl::Duration timeout) {
   constexpr size_t kMaxFds = 8;
   assert(fds.size() <= kMaxFds && "too many file descriptors to wait for");
   std::array<pollfd, kMaxFds> polled = {};
@@ -65,7 +69,14 @@
     polled[i] = pollfd{fds[i], POLLIN, 0};
   const int64_t timeout_ms =
       std::max<int64_t>(0, absl::ToInt64Milliseconds(timeout));
-  return poll(polled.data(), count, static_cast<int>(timeout_ms)) > 0;
+  uint32_t readable = 0;
+  if (poll(polled.data(), count, static_cast<int>(timeout_ms)) <= 0)
+    return readable;
+  for (size_t i = 0; i < count; ++i) {
+    if (polled[i].revents != 0)
+      readable |= 1U << i;
+  }
+  return readable;
 }
 
 absl::Time MonotonicNow() {
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -169,7 +169,7 @@
       forwarder_.OnTargetPacket(header, packet, now, actions_);
       Execute(now);
     });
-    channel_.Receive([this, now](Endpoint source, const NodeMessage& message) {
+    ReceiveMessages([this, now](Endpoint source, const NodeMessage& message) {
       std::visit(MessageHandler{*this, source, now}, message);
     });
     forwarder_.Tick(now, actions_);
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -123,7 +123,7 @@
   }
 
   void Round(absl::Time now) override {
-    channel_.Receive([this, now](Endpoint source, const NodeMessage& message) {
+    ReceiveMessages([this, now](Endpoint source, const NodeMessage& message) {
       std::visit(MessageHandler{*this, source, now}, message);
     });
     ReceivePackets([this, now](const PacketHeader& header,
--- a/lib/node/node_loop.cc
+++ b/lib/node/node_loop.cc
@@ -49,13 +49,19 @@
   const absl::Time before = MonotonicNow();
   const absl::Duration wait =
       std::min(kLongestRound, NextDeadline(before) - before);
-  WaitReadable({packets_.fd(), channel_.fd(), wakeup_.fd()},
-               std::max(kShortestRound, wait));
+  // A system call costs as much as the decision about a packet, so that only
+  // sockets with datagrams are read.
+  const uint32_t readable =
+      WaitReadableSet({packets_.fd(), channel_.fd(), wakeup_.fd()},
+                      std::max(kShortestRound, wait));
+  packets_readable_ = (readable & 1U) != 0;
+  channel_readable_ = (readable & 2U) != 0;
   const absl::Time now = MonotonicNow();
   if (now - last_round_ > kSuspendedGap)
     DiscardOld(now - last_round_);
   last_round_ = now;
-  wakeup_.Drain();
+  if ((readable & 4U) != 0)
+    wakeup_.Drain();
   while (absl::optional<DataCommand> command = commands_.TryPop())
     Take(*command, now);
   Round(now);
@@ -78,7 +84,7 @@
 void NodeLoop::ReceivePackets(
     const std::function<void(const PacketHeader&, absl::Span<const uint8_t>)>&
         handle) {
-  for (int i = 0; i < kDatagramBatch; ++i) {
+  for (int i = 0; packets_readable_ && i < kDatagramBatch; ++i) {
     const absl::optional<Datagram> datagram = packets_.Receive();
     if (!datagram.has_value())
       return;
@@ -90,6 +96,12 @@
   }
 }
 
+void NodeLoop::ReceiveMessages(
+    const std::function<void(Endpoint, const NodeMessage&)>& handle) {
+  if (channel_readable_)
+    channel_.Receive(handle);
+}
+
 absl::optional<PacketHeader> NodeLoop::ReadPacket(
     absl::Span<const uint8_t> packet) {
   const Result<PacketHeader> header = options_.packets->Read(packet);
--- a/lib/node/node_loop.h
+++ b/lib/node/node_loop.h
@@ -58,6 +58,9 @@
   void ReceivePackets(
       const std::function<void(const PacketHeader&, absl::Span<const uint8_t>)>&
           handle);
+  /// Hands up to kDatagramBatch messages of other nodes to `handle`.
+  void ReceiveMessages(
+      const std::function<void(Endpoint, const NodeMessage&)>& handle);
   /// Reads the packet inside a message; null where it is none, which is
   /// counted.
   absl::optional<PacketHeader> ReadPacket(absl::Span<const uint8_t> packet);
@@ -84,6 +87,9 @@
   Counter& malformed_;
   Counter& received_;
   BoundedRing<DataCommand> commands_;
+  /// Which sockets have datagrams in this round.
+  bool packets_readable_ = false;
+  bool channel_readable_ = false;
   absl::Time last_round_;
   absl::Time next_sweep_;
   absl::Time last_heard_ = absl::InfinitePast();
