Take a flow for the target's own only once client or target has proved it

Cause, shown by two tests that failed before: an agent erased a flow when its client acknowledged another target's grant. The own target then repeated its grant, and the agent took that for an open flow of its own; it answered searches for it, and reset it when the target returned a packet. A packet that overtook the grant had the same effect at a crash of the target.

Change: a grant adopts a flow as opening only; a flow is confirmed by an acknowledgement of the grant or by more packets of the target, and only confirmed flows are cut. An acknowledgement answers a grant within 128 KiB instead of 16 MiB, so that a foreign one is taken for it once in 32,768 and not once in 256.

--- a/include/skylarkshunt/forwarding/agent_flows.h
+++ b/include/skylarkshunt/forwarding/agent_flows.h
@@ -31,7 +31,9 @@
     bool client_ended = false;
     bool target_ended = false;
     bool target_sequence_known = false;
-    /// The target has sent more than its grant, so that the flow is open there.
+    /// The flow is known to be open at the target: its client acknowledged the
+    /// grant, or the target has sent more than that. A grant alone does not
+    /// tell, since the client may have taken the one of another target.
     bool confirmed = false;
     /// The request has been counted as failed, since it had no answer for long.
     bool overdue = false;
@@ -59,9 +61,9 @@
 
   /// An opening packet goes to the target; its request counts from now on.
   void Open(const FlowId& id, Endpoint entry, RequestKind kind, absl::Time now);
-  /// A packet of the target belongs to a flow that was opened before this agent
-  /// started.
-  void Adopt(const FlowId& id, absl::Time now);
+  /// A packet of the target, `header`, belongs to a flow that was opened before
+  /// this agent started, or that was forgotten since its client went elsewhere.
+  void Adopt(const FlowId& id, const PacketHeader& header, absl::Time now);
   /// The target grants the flow.
   void NoteGrant(Flow& flow, const PacketHeader& header, absl::Time now);
   void NoteClientPacket(Flow& flow, const PacketHeader& header, absl::Time now);
--- a/include/skylarkshunt/http/http_client.h
+++ b/include/skylarkshunt/http/http_client.h
@@ -29,7 +29,7 @@
   absl::Duration timeout = absl::Seconds(2);
   /// Longest silence within an answer that has begun, so that a long answer on
   /// a slow link is not given up while it comes; zero for none.
-  absl::Duration progress_timeout;
+  absl::Duration progress_timeout = absl::ZeroDuration();
   /// Bounds an answer that has begun and that `progress_timeout` lets go on.
   absl::Duration transfer_limit = absl::Seconds(20);
   /// Bounds connecting, within `timeout`.
--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -43,7 +43,7 @@
     /// `progress_timeout` is set.
     absl::Duration timeout = absl::Seconds(2);
     /// Longest silence within an answer that has begun; zero for none.
-    absl::Duration progress_timeout;
+    absl::Duration progress_timeout = absl::ZeroDuration();
   };
 
   static Result<std::unique_ptr<PlatformClient>> Create(const Options& options);
--- a/lib/forwarding/agent_flows.cc
+++ b/lib/forwarding/agent_flows.cc
@@ -13,9 +13,10 @@
 /// A flow without packets is forgotten after this: the deployments let flows
 /// end after 60 s in all, and sooner when they are idle.
 constexpr absl::Duration kIdleLifetime = absl::Seconds(70);
-/// Sequence numbers of two ends that differ by less belong together; a flow
-/// carries less, and a foreign sequence number is random.
-constexpr uint32_t kSequenceWindow = 1U << 24;
+/// An acknowledgement that is less than this above a grant answers it: the
+/// client's first packets are within the 16 packets that a target sends ahead,
+/// and the grants of other targets are random.
+constexpr uint32_t kSequenceWindow = 1U << 17;
 /// Weight of one more handshake in the usual time of one.
 constexpr double kHandshakeWeight = 0.05;
 /// A request without an answer for this long counts as failed: longer than any
@@ -61,12 +62,18 @@
   SetBusy(flow, true);
 }
 
-void AgentFlows::Adopt(const FlowId& id, absl::Time now) {
+void AgentFlows::Adopt(const FlowId& id,
+                       const PacketHeader& header,
+                       absl::Time now) {
   Flow& flow = flows_[id];
-  flow.phase = Phase::kOpen;
-  flow.confirmed = true;
   flow.used = now;
   ++open_;
+  if (header.opening) {
+    NoteGrant(flow, header, now);
+    return;
+  }
+  flow.phase = Phase::kOpen;
+  flow.confirmed = true;
 }
 
 void AgentFlows::NoteGrant(Flow& flow,
@@ -81,8 +88,13 @@
                                   const PacketHeader& header,
                                   absl::Time now) {
   flow.used = now;
-  if (header.acknowledges)
+  if (header.acknowledges) {
     flow.client_expects = header.acknowledged;
+    flow.confirmed =
+        flow.confirmed ||
+        (flow.target_sequence_known &&
+         FollowsSequence(header.acknowledged, flow.target_sequence));
+  }
   if (flow.phase == Phase::kOpening)
     flow.phase = Phase::kOpen;
   if (header.payload_bytes > 0) {
@@ -205,7 +217,7 @@
 }
 
 bool AgentFlows::IsForeign(const Flow& flow, const PacketHeader& header) {
-  return flow.phase == Phase::kOpening && header.acknowledges &&
+  return !flow.confirmed && header.acknowledges &&
          flow.target_sequence_known &&
          !FollowsSequence(header.acknowledged, flow.target_sequence);
 }
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -252,7 +252,7 @@
   if (flow != nullptr) {
     NoteTargetPacket(id, *flow, header, now, actions);
   } else if (!flows_.is_full() && !header.reset) {
-    flows_.Adopt(id, now);
+    flows_.Adopt(id, header, now);
     not_held_.erase(id);
   }
   actions.to_clients.push_back({header.destination.address, packet});
@@ -386,7 +386,7 @@
 
 void AgentForwarder::CutFlows(absl::string_view reason, AgentActions& actions) {
   flows_.ForEach([&](const FlowId& id, const AgentFlows::Flow& flow) {
-    if (flow.phase != AgentFlows::Phase::kOpen)
+    if (flow.phase != AgentFlows::Phase::kOpen || !flow.confirmed)
       return;
     actions.resets.push_back({id, flow.client_expects});
     actions.decisions.push_back(MakeDecision(DecisionKind::kCut, id, reason));
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -11,6 +11,9 @@
 
 const Endpoint kEntry{0x0a010001, 7720};
 const ServiceUid kService = MakeServiceUid("dispatch");
+/// What a client acknowledges that took the grant of another target; near the
+/// one of the target here, as one of hundreds is.
+constexpr uint32_t kForeignGrant = 5'000'001;
 
 AgentForwarder::Options MakeOptions() {
   AgentForwarder::Options options;
@@ -58,6 +61,8 @@
   CPPUNIT_TEST(UnknownFlowIsNotHeldByATargetSeenFromItsStart);
   CPPUNIT_TEST(GrantOfAnotherTargetIsNotHeld);
   CPPUNIT_TEST(FlowGrantedHereAndOpenElsewhereIsNotCut);
+  CPPUNIT_TEST(RepeatedGrantIsNoProofOfAFlow);
+  CPPUNIT_TEST(PacketBeforeTheGrantIsNoProofOfAFlow);
   CPPUNIT_TEST(FlowThatTheTargetForgotIsCut);
   CPPUNIT_TEST(FlowsOfAnEarlierIncarnationAreCut);
   CPPUNIT_TEST(CrashCutsFlowsAtOnce);
@@ -437,6 +442,51 @@
     }
   }
 
+  // Guards against the reset of a flow that is open at another target: the
+  // target here repeats its grant, which the client did not take, and its agent
+  // takes that for a flow of its own. Seen as FLOW on scale-1 of the large
+  // deployment.
+  void RepeatedGrantIsNoProofOfAFlow() {
+    Start();
+    const FlowPackets flow;
+    Open(flow);
+    agent_.OnTargetPacket(flow.Grant(), kPacketBytes, now_, actions_);
+    actions_.Clear();
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                       flow.Request(kForeignGrant), kEntry, now_, actions_);
+    CPPUNIT_ASSERT(GivenBack().reason == ReturnReason::kNotHeld);
+    Pass(absl::Milliseconds(200));
+    agent_.OnTargetPacket(flow.Grant(), kPacketBytes, now_, actions_);
+    actions_.Clear();
+    agent_.OnForwarded(Forward(ForwardMode::kSearch),
+                       flow.Request(kForeignGrant), kEntry, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, actions_.to_target.size());
+    CPPUNIT_ASSERT(GivenBack().reason == ReturnReason::kNotHeld);
+    CPPUNIT_ASSERT(actions_.resets.empty());
+  }
+
+  // Guards against the same where the client's packet overtakes the grant: it
+  // does not tell yet whose grant the client took.
+  void PacketBeforeTheGrantIsNoProofOfAFlow() {
+    Start();
+    const FlowPackets flow;
+    Open(flow);
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                       flow.Request(kForeignGrant), kEntry, now_, actions_);
+    agent_.OnTargetPacket(flow.Grant(), kPacketBytes, now_, actions_);
+    actions_.Clear();
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                       flow.Request(kForeignGrant), kEntry, now_, actions_);
+    CPPUNIT_ASSERT(GivenBack().reason == ReturnReason::kNotHeld);
+    const FlowPackets other(2000);
+    Open(other);
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                       other.Request(kForeignGrant), kEntry, now_, actions_);
+    actions_.Clear();
+    agent_.OnTargetCrashed(actions_);
+    CPPUNIT_ASSERT(actions_.resets.empty());
+  }
+
  private:
   void Start() { agent_.OnTargetReport(MakeReport(1), now_, actions_); }
 
