--- a/lib/forwarding/agent_flows.cc
+++ b/lib/forwarding/agent_flows.cc
@@ -90,10 +90,9 @@
   flow.used = now;
   if (header.acknowledges) {
     flow.client_expects = header.acknowledged;
-    flow.confirmed =
-        flow.confirmed ||
-        (flow.target_sequence_known &&
-         FollowsSequence(header.acknowledged, flow.target_sequence));
+    flow.confirmed = flow.confirmed || (flow.target_sequence_known &&
+                                        FollowsSequence(header.acknowledged,
+                                                        flow.target_sequence));
   }
   if (flow.phase == Phase::kOpening)
     flow.phase = Phase::kOpen;
@@ -217,8 +216,7 @@
 }
 
 bool AgentFlows::IsForeign(const Flow& flow, const PacketHeader& header) {
-  return !flow.confirmed && header.acknowledges &&
-         flow.target_sequence_known &&
+  return !flow.confirmed && header.acknowledges && flow.target_sequence_known &&
          !FollowsSequence(header.acknowledged, flow.target_sequence);
 }
 
