--- a/lib/documents/document_download.cc
+++ b/lib/documents/document_download.cc
@@ -1,14 +1,15 @@
 #include "skylarkshunt/documents/document_download.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
 namespace skylarkshunt {
 namespace {
 
-/// Most nodes kept as sources; beyond it new ones are ignored, since any of
-/// those kept has the document.
+/// Most nodes kept as sources; beyond it a new one takes the place of one that
+/// failed, and is ignored where none has.
 constexpr size_t kMaxSources = 64;
 /// Wait before a node that is busy is asked again: about the time of one part
 /// on a link of 2 Mbit/s at half its rate.
@@ -23,8 +24,14 @@
 }  // namespace
 
 void DocumentDownload::OnOffer(uint32_t node, Revision revision) {
-  if (sources_.size() >= kMaxSources && !sources_.contains(node))
-    return;
+  if (sources_.size() >= kMaxSources && !sources_.contains(node)) {
+    const auto failed = std::find_if(
+        sources_.begin(), sources_.end(),
+        [](const auto& source) { return source.second.failures > 0; });
+    if (failed == sources_.end())
+      return;
+    sources_.erase(failed);
+  }
   Source& source = sources_[node];
   if (ToNumber(revision) > ToNumber(source.revision))
     source.revision = revision;
@@ -38,9 +45,15 @@
   });
   if (ToNumber(partial_.revision) <= ToNumber(held))
     partial_ = {};
-  std::vector<std::pair<uint32_t, Revision>> ready;
+  // Those that failed least often come first.
+  uint32_t fewest = std::numeric_limits<uint32_t>::max();
   for (const auto& [node, source] : sources_) {
     if (source.not_before <= now)
+      fewest = std::min(fewest, source.failures);
+  }
+  std::vector<std::pair<uint32_t, Revision>> ready;
+  for (const auto& [node, source] : sources_) {
+    if (source.not_before <= now && source.failures == fewest)
       ready.emplace_back(node, source.revision);
   }
   if (ready.empty())
--- a/unittests/documents/document_transfer_test.cc
+++ b/unittests/documents/document_transfer_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(DamagedPartsAreRefused);
   CPPUNIT_TEST(PartsOfAnotherDocumentAreNotJoined);
   CPPUNIT_TEST(PartsThatCameAreKeptWhenTheirSenderFails);
+  CPPUNIT_TEST(NodesThatFailedMakeRoomForOthers);
   CPPUNIT_TEST(StormOfChangesDoesNotBeginEachTransferAnew);
   CPPUNIT_TEST(HalfOfTheLinkIsLeftToCallers);
   CPPUNIT_TEST(HundredsOfNodesThatStartAtOnceOnSlowLinksAllGetIt);
@@ -140,6 +141,26 @@
     CPPUNIT_ASSERT_EQUAL(parts, asked);
   }
 
+  // Pattern: the loss of a data centre. Guards against a node that goes on
+  // asking those that are gone, since it knows so many of them.
+  void NodesThatFailedMakeRoomForOthers() {
+    constexpr uint32_t kGone = 200;
+    constexpr uint32_t kLive = kFirstNode + kGone;
+    DocumentDownload download(1);
+    for (uint32_t node = 0; node < kGone; ++node)
+      download.OnOffer(kFirstNode + node, Revision{5});
+    bool asked = false;
+    for (int64_t ms = 0; ms < 1'000 && !asked; ms += 10) {
+      download.OnOffer(kLive, Revision{5});
+      const auto request = download.Next(Revision{4}, At(ms));
+      if (!request.has_value())
+        continue;
+      asked = request->node == kLive;
+      download.OnFailure(request->node, At(ms));
+    }
+    CPPUNIT_ASSERT(asked);
+  }
+
   // Guards against nodes that follow no version while each change comes before
   // the last one has passed their link.
   void StormOfChangesDoesNotBeginEachTransferAnew() {
