--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -25,8 +25,9 @@
 /// grows with their number, so that an agent sends at most 125 reports a second
 /// in all, and fewer in fleets of many entries. Thread-safe.
 absl::Duration AgentReportInterval(size_t entries);
-/// Silence after which an agent is forgotten, and flows that nobody else holds
-/// are given up; longer than an agent needs to start again.
+/// Least silence after which an agent is forgotten, and flows that nobody else
+/// holds are given up; longer than an agent needs to start again. Twice the
+/// silence after which it gets no new flow, where that is longer.
 inline constexpr absl::Duration kAgentForgottenAfter = absl::Seconds(6);
 
 /// One agent as an entry knows it.
--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -81,7 +81,7 @@
 enum class ForwardMode : uint8_t {
   kOpening = 0,      ///< Asks for a new flow.
   kEstablished = 1,  ///< The flow was last seen at this agent.
-  kSearch = 2,       ///< Every agent of the service is asked for the flow.
+  kSearch = 2,       ///< Agents that may hold the flow are asked for it.
 };
 
 /// A client's packet on its way to an agent.
