--- a/include/skylarkshunt/documents/packed_document.h
+++ b/include/skylarkshunt/documents/packed_document.h
@@ -15,7 +15,7 @@
 inline constexpr size_t kMaxDocumentBytes = 1'048'576;
 /// Bytes of a compressed document in one chunk: a link of 2 Mbit/s is busy with
 /// it for 32 ms, so that packets of callers hardly wait behind it.
-inline constexpr size_t kChunkBytes = 8 * 1024;
+inline constexpr size_t kChunkBytes = 8'192;
 
 /// A configuration document as nodes hand it to each other. Routes repeat the
 /// same words, so that compressing divides the bytes by ten or more.
--- a/lib/documents/packed_document.cc
+++ b/lib/documents/packed_document.cc
@@ -22,7 +22,7 @@
 constexpr uint64_t kDigestSeed = 0x646f63;
 /// Zstandard's bound for a compressed document of the greatest length is a
 /// little above the length itself.
-constexpr size_t kMaxPackedBytes = kMaxDocumentBytes + 8 * 1024;
+constexpr size_t kMaxPackedBytes = kMaxDocumentBytes + 8'192;
 
 // Head of a chunk, all fields little-endian.
 constexpr size_t kRevisionAt = 0;
