--- a/include/skylarkshunt/packets/packet.h
+++ b/include/skylarkshunt/packets/packet.h
@@ -56,6 +56,12 @@
   /// the remaining time that the client waits for an answer.
   absl::Duration opening_age;
   absl::Duration opening_time_left;
+  /// On a client's opening packet: 0 for the first copy, and the number of the
+  /// retransmission for the others.
+  uint8_t opening_copy = 0;
+  /// On a client's opening packet: time from the first copy to the one that
+  /// follows this one; infinite for the last one.
+  absl::Duration opening_next_age = absl::InfiniteDuration();
   bool opening = false;       ///< Requests a new flow, or grants it.
   bool acknowledges = false;  ///< `acknowledged` is valid.
   bool ending = false;        ///< The sender sends nothing more.
--- a/unittests/forwarding/packets.h
+++ b/unittests/forwarding/packets.h
@@ -23,9 +23,10 @@
   PacketHeader Opening(int copy = 0) const {
     PacketHeader header = FromClient();
     header.opening = true;
-    header.opening_age = absl::Milliseconds(copy == 0   ? 0
-                                            : copy == 1 ? 200
-                                                        : 600);
+    header.opening_copy = static_cast<uint8_t>(copy);
+    header.opening_age = AgeOf(copy);
+    if (copy < 2)
+      header.opening_next_age = AgeOf(copy + 1);
     header.opening_time_left = absl::Milliseconds(1400) - header.opening_age;
     return header;
   }
@@ -61,6 +62,9 @@
   }
 
  private:
+  static absl::Duration AgeOf(int copy) {
+    return absl::Milliseconds(copy == 0 ? 0 : copy == 1 ? 200 : 600);
+  }
   PacketHeader FromClient() const {
     PacketHeader header;
     header.source = flow_.client;
--- a/unittests/platform_adapter/platform_adapter_test.cc
+++ b/unittests/platform_adapter/platform_adapter_test.cc
@@ -104,10 +104,18 @@
     CPPUNIT_ASSERT(header.opening_time_left == absl::Milliseconds(1400));
     CPPUNIT_ASSERT(format_->MakeReset(header.flow_from_client(), 0) ==
                    kPublishedReset);
+    CPPUNIT_ASSERT_EQUAL(uint8_t{0}, header.opening_copy);
+    CPPUNIT_ASSERT(header.opening_next_age == absl::Milliseconds(200));
     std::vector<uint8_t> copy = kPublishedOpening;
+    copy[22] = 1;
+    const PacketHeader second = format_->Read(copy).value();
+    CPPUNIT_ASSERT_EQUAL(uint8_t{1}, second.opening_copy);
+    CPPUNIT_ASSERT(second.opening_next_age == absl::Milliseconds(600));
     copy[22] = 2;
-    CPPUNIT_ASSERT(format_->Read(copy).value().opening_age ==
-                   absl::Milliseconds(600));
+    const PacketHeader last = format_->Read(copy).value();
+    CPPUNIT_ASSERT(last.opening_age == absl::Milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(uint8_t{2}, last.opening_copy);
+    CPPUNIT_ASSERT(last.opening_next_age == absl::InfiniteDuration());
   }
 
   // Guards against changes of other fields: a target rejects packets that
