--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -13,6 +13,7 @@
   libgoogle-glog-dev
   libcppunit-dev
   libxxhash-dev
+  libunwind-dev
   libzstd-dev
   libplplot-dev
 )
