Record opening packets at the entry with the time that they waited

An entry that reads its socket late handles an opening packet after the client may have sent the next copy. The loop keeps the time at which the packet socket was last known to be empty, and the forwarder records each opening packet with the longest time for which it may have waited. After a wait of 10 ms or more the loop reads the socket even if poll() reported no packet, so that this time stays short at entries with little traffic. The record is kept for the log only: what is sent to whom does not change.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -13,6 +13,7 @@
 #include "skylarkshunt/forwarding/agent_directory.h"
 #include "skylarkshunt/forwarding/decision.h"
 #include "skylarkshunt/forwarding/messages.h"
+#include "skylarkshunt/forwarding/opening_copies.h"
 #include "skylarkshunt/forwarding/retry_history.h"
 #include "skylarkshunt/forwarding/route_table.h"
 #include "skylarkshunt/forwarding/unanswered_openings.h"
@@ -61,6 +62,13 @@
   /// Refusals by this entry and by others of its data centre.
   RetryHistory& retries() { return retries_; }
 
+  /// Longest time for which the packets that are handled next may have waited
+  /// in the socket. Used only for the record of opening packets. Precondition:
+  /// `delay` is not negative.
+  void set_socket_delay(absl::Duration delay) { socket_delay_ = delay; }
+  /// Copies of opening packets that this entry received.
+  const OpeningCopies& opening_copies() const { return copies_; }
+
   /// Handles a packet of a client. Appends to `actions`.
   void OnClientPacket(const PacketHeader& header,
                       absl::Span<const uint8_t> packet,
@@ -197,6 +205,8 @@
   absl::flat_hash_map<FlowId, CachedFlow> flows_;
   absl::flat_hash_map<FlowId, Search> searches_;
   UnansweredOpenings unanswered_;
+  OpeningCopies copies_;
+  absl::Duration socket_delay_;
   /// Timed-out packets that Tick() sent to another agent. Actions point to
   /// their bytes.
   std::vector<UnansweredOpenings::Opening> timed_out_;
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -58,6 +58,8 @@
                                     absl::Time now,
                                     EntryActions& actions) {
   const FlowId flow = header.flow_from_client();
+  if (header.opening && !header.acknowledges)
+    copies_.Record(header, now - socket_delay_, now);
   if (routes_ == nullptr) {
     actions.decisions.push_back(
         MakeDecision(DecisionKind::kDeferred, flow, "no_configuration"));
@@ -516,6 +518,7 @@
     return now - flow.second.used > idle;
   });
   retries_.Expire(now);
+  copies_.Expire(now);
   absl::erase_if(searches_, [now](const auto& search) {
     return now - search.second.started > kSearchLifetime;
   });
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -146,6 +146,7 @@
     ReceiveMessages([this, now](Endpoint source, const NodeMessage& message) {
       std::visit(MessageHandler{*this, source, now}, message);
     });
+    forwarder_.set_socket_delay(packet_delay(now));
     ReceivePackets([this, now](const PacketHeader& header,
                                absl::Span<const uint8_t> packet) {
       last_packet_ = now;
--- a/lib/node/node_loop.cc
+++ b/lib/node/node_loop.cc
@@ -12,6 +12,10 @@
 /// Longest wait of a round. A suspension is detected by the gap between two
 /// rounds, so a round must be much shorter than kSuspendedGap.
 constexpr absl::Duration kMaxRoundWait = absl::Milliseconds(100);
+/// After a wait of this length the packet socket is read even if poll() did not
+/// report a packet. The wait may have begun long before the socket was last
+/// empty, and only a read shows that it is empty now.
+constexpr absl::Duration kLongWait = absl::Milliseconds(10);
 /// Shortest wait. It prevents a busy loop when a deadline is in the past.
 constexpr absl::Duration kMinRoundWait = absl::Milliseconds(1);
 /// Time between the end of the shutdown and the SIGKILL.
@@ -38,6 +42,7 @@
                                        "Packets of clients or targets.")),
       commands_(kMaxDataCommands, [this] { wakeup_.Notify(); }),
       last_round_(started_),
+      packets_empty_(started_),
       next_sweep_(started_),
       thread_(wakeup_) {}
 
@@ -54,11 +59,17 @@
   const uint32_t readable =
       WaitReadableSet({packets_.fd(), channel_.fd(), wakeup_.fd()},
                       std::max(kMinRoundWait, wait));
-  packets_readable_ = (readable & 1U) != 0;
   channel_readable_ = (readable & 2U) != 0;
   const absl::Time now = MonotonicNow();
-  if (now - last_round_ > kSuspendedGap)
+  // An interrupted poll() reports no socket, and proves nothing.
+  const bool was_idle = readable == 0 || now - before >= kLongWait;
+  packets_readable_ = was_idle || (readable & 1U) != 0;
+  if (!packets_readable_)
+    packets_empty_ = before;
+  if (now - last_round_ > kSuspendedGap) {
     DiscardStale(now - last_round_);
+    packets_empty_ = now;
+  }
   last_round_ = now;
   if ((readable & 4U) != 0)
     wakeup_.Drain();
@@ -86,8 +97,10 @@
         handle) {
   for (int i = 0; packets_readable_ && i < kDatagramBatch; ++i) {
     const absl::optional<Datagram> datagram = packets_.Receive();
-    if (!datagram.has_value())
+    if (!datagram.has_value()) {
+      packets_empty_ = last_round_;
       return;
+    }
     const absl::optional<PacketHeader> header = ReadPacket(datagram->bytes);
     if (!header.has_value())
       continue;
--- a/lib/node/node_loop.h
+++ b/lib/node/node_loop.h
@@ -58,6 +58,11 @@
   void ReceivePackets(
       const std::function<void(const PacketHeader&, absl::Span<const uint8_t>)>&
           handle);
+  /// Returns the longest time for which the packets that ReceivePackets()
+  /// handles may have waited in the socket.
+  absl::Duration packet_delay(absl::Time now) const {
+    return now - packets_empty_;
+  }
   /// Calls `handle` for up to kDatagramBatch messages of other nodes.
   void ReceiveMessages(
       const std::function<void(Endpoint, const NodeMessage&)>& handle);
@@ -87,10 +92,12 @@
   Counter& malformed_;
   Counter& received_;
   BoundedRing<DataCommand> commands_;
-  /// Which sockets have datagrams in this round.
+  /// Which sockets are read in this round.
   bool packets_readable_ = false;
   bool channel_readable_ = false;
   absl::Time last_round_;
+  /// The packet socket was empty at this time or later.
+  absl::Time packets_empty_;
   absl::Time next_sweep_;
   absl::Time last_seen_ = absl::InfinitePast();
   absl::Time leaving_since_;
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(FlowPlacedElsewhereIsNotRefused);
   CPPUNIT_TEST(RefusalIsDeferredWhileAnotherAgentMayHoldTheFlow);
   CPPUNIT_TEST(RefusedAtOnceWhenNobodyAccepts);
+  CPPUNIT_TEST(CopiesOfOpeningPacketsAreRecorded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -371,6 +372,28 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
   }
 
+  // Guards against a copy that is not recorded because the entry has no route
+  // for it, and against a copy whose time in the socket is ignored.
+  void CopiesOfOpeningPacketsAreRecorded() {
+    EntryForwarder entry(kLocalDataCentre, kStart);
+    const FlowPackets flow;
+    entry.OnClientPacket(flow.Opening(), kPacketBytes, now_, actions_);
+    entry.SetRoutes(Routes());
+    const FlowPackets foreign(1, {0xc6120009, 443});
+    entry.set_socket_delay(absl::Milliseconds(30));
+    entry.OnClientPacket(foreign.Opening(1), kPacketBytes, now_, actions_);
+    entry.OnClientPacket(flow.Request(), kPacketBytes, now_, actions_);
+    const OpeningCopies& copies = entry.opening_copies();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, copies.size());
+    CPPUNIT_ASSERT_EQUAL(uint8_t{1}, copies.Find(flow.flow()).received);
+    CPPUNIT_ASSERT_EQUAL(uint8_t{2}, copies.Find(foreign.flow()).received);
+    CPPUNIT_ASSERT(copies.Find(foreign.flow()).first_sent ==
+                   kStart - absl::Milliseconds(230) -
+                       OpeningCopies::kNetworkTime);
+    entry.ExpireIdle(now_ + absl::Seconds(5));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, copies.size());
+  }
+
  private:
   static uint64_t UidAt(Endpoint agent) { return agent.address - 0x0a020000; }
 
