Log what a refusal or a reset of a flow was based on

A decision now has an evidence, written to the line and to the history of the node:

- SKS2103 and SKS2104: copies received by this entry and their age;
- SKS2107 at an entry: agents queried and known, the uptime of the entry and the time since an agent of the service last appeared;
- SKS2107 at an agent: the time since the flow opened there;
- SKS2103 and SKS2107: the sequence of the reset.

Other lines keep their length. OnTargetCrashed() takes the time, which the age of the flows needs. What is sent to whom does not change.

--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -92,6 +92,11 @@
   /// The agents of a service in no particular order; empty if there are none.
   absl::Span<AgentView* const> AgentsOfService(ServiceUid service) const;
 
+  /// Returns the time at which an agent of the service was last added;
+  /// InfinitePast if there was none. An agent that restarted is not added
+  /// again.
+  absl::Time last_appeared(ServiceUid service) const;
+
   /// Whether every agent of the service is responsive or down. Only then do the
   /// answers of all agents prove that no agent holds a flow.
   bool IsComplete(ServiceUid service, absl::Time now) const;
@@ -106,6 +111,7 @@
  private:
   absl::flat_hash_map<InstanceUid, std::unique_ptr<AgentView>> agents_;
   absl::flat_hash_map<ServiceUid, std::vector<AgentView*>> of_service_;
+  absl::flat_hash_map<ServiceUid, absl::Time> last_appeared_;
 };
 
 /// Maximum number of placement candidates of a flow in the local data centre,
--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -92,7 +92,7 @@
   /// arrives.
   void OnTargetHealthy(uint32_t slots);
   /// A connection to the target was refused: its process has ended.
-  void OnTargetCrashed(AgentActions& actions);
+  void OnTargetCrashed(absl::Time now, AgentActions& actions);
   /// Handles timeouts. Call it at next_deadline() or before.
   void Tick(absl::Time now, AgentActions& actions);
   /// Returns the time by which Tick() must be called next.
@@ -179,7 +179,16 @@
   uint32_t Deliver(Delivery delivery,
                    absl::Span<const uint8_t> packet,
                    AgentActions& actions);
-  void ResetFlows(absl::string_view reason, AgentActions& actions);
+  void ResetFlows(absl::string_view reason,
+                  absl::Time now,
+                  AgentActions& actions);
+  /// Resets one flow at its client.
+  void ResetFlow(const FlowId& id,
+                 const AgentFlows::Flow& flow,
+                 uint32_t sequence,
+                 absl::string_view reason,
+                 absl::Time now,
+                 AgentActions& actions) const;
   Decision MakeDecision(DecisionKind kind,
                         const FlowId& flow,
                         absl::string_view reason) const;
--- a/include/skylarkshunt/forwarding/decision.h
+++ b/include/skylarkshunt/forwarding/decision.h
@@ -2,6 +2,7 @@
 #define SKYLARKSHUNT_FORWARDING_DECISION_H_
 
 #include <cstdint>
+#include <variant>
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
@@ -26,6 +27,39 @@
 };
 inline constexpr size_t kDecisionKinds = 10;
 
+/// kRefused and kDeferred: what the entry knows of the copies of the opening
+/// packet. Routers may have sent other copies to other entries.
+struct OpeningEvidence {
+  /// Bit i is set if this entry received copy i.
+  uint8_t copies = 0;
+  /// Time since the client may first have sent the packet. Infinite if the
+  /// entry received no copy.
+  absl::Duration age = absl::InfiniteDuration();
+};
+
+/// kFlowReset at an entry: the search that found no agent with the flow.
+struct SearchEvidence {
+  /// Agents that were queried, and agents of the route's services that the
+  /// entry knows. Agents whose target is down are known but not queried.
+  uint32_t queried = 0;
+  uint32_t known = 0;
+  absl::Duration uptime;
+  /// Time since an agent of these services last appeared. Infinite if none is
+  /// known.
+  absl::Duration newest_agent = absl::InfiniteDuration();
+};
+
+/// kFlowReset at an agent: its state of the flow.
+struct AgentFlowEvidence {
+  /// Time since the flow opened at this agent. Infinite if the agent took the
+  /// flow over from a packet of the target.
+  absl::Duration age = absl::InfiniteDuration();
+};
+
+/// What a decision about the end or the holder of a flow was based on.
+using Evidence = std::
+    variant<std::monostate, OpeningEvidence, SearchEvidence, AgentFlowEvidence>;
+
 /// One decision with the inputs that led to it. `reason` has static storage.
 struct Decision {
   DecisionKind kind = DecisionKind::kPlaced;
@@ -51,6 +85,9 @@
   /// Entry: attempt of the client at its request, as RetryHistory recognizes
   /// it; 0 if it does not apply.
   uint8_t attempt = 0;
+  /// kRefused and kFlowReset: sequence of the reset.
+  uint32_t sequence = 0;
+  Evidence evidence;
 };
 
 }  // namespace skylarkshunt
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -177,11 +177,17 @@
   void Refuse(const FlowId& flow,
               const PacketHeader& header,
               absl::string_view reason,
+              absl::Time now,
               EntryActions& actions) const;
   /// Removes the flow and relies on the client's retransmission if another
   /// agent may have opened the flow; a reset would be untrue then. Returns
   /// whether it did so.
-  bool DeferRefusal(const FlowId& flow, EntryActions& actions);
+  bool DeferRefusal(const FlowId& flow, absl::Time now, EntryActions& actions);
+  /// Adds the decision to drop an opening packet.
+  void RecordDeferred(const FlowId& flow,
+                      absl::string_view reason,
+                      absl::Time now,
+                      EntryActions& actions) const;
   /// Refuses a client whose opening packet an agent returned, and removes the
   /// flow.
   void RefuseReturned(const ReturnedPacket& returned,
@@ -189,6 +195,10 @@
                       absl::Time now,
                       EntryActions& actions);
   void CacheFlow(const FlowId& flow, InstanceUid agent, absl::Time now);
+  OpeningEvidence EvidenceOfOpening(const FlowId& flow, absl::Time now) const;
+  SearchEvidence EvidenceOfSearch(const Search& search,
+                                  const Route& route,
+                                  absl::Time now) const;
   void RecordRefused(const FlowId& flow,
                      const Attempt& attempt,
                      absl::Time now,
--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -210,6 +210,7 @@
     view->load = load;
     view->last_seen = now;
     of_service_[agent.service].push_back(view.get());
+    last_appeared_[agent.service] = now;
     agents_[agent.uid] = std::move(view);
     return AgentChange::kAppeared;
   }
@@ -285,6 +286,12 @@
   return agents->second;
 }
 
+absl::Time AgentDirectory::last_appeared(ServiceUid service) const {
+  const auto appeared = last_appeared_.find(service);
+  return appeared == last_appeared_.end() ? absl::InfinitePast()
+                                          : appeared->second;
+}
+
 bool AgentDirectory::IsComplete(ServiceUid service, absl::Time now) const {
   const absl::Span<AgentView* const> agents = AgentsOfService(service);
   return std::all_of(agents.begin(), agents.end(), [now](const AgentView* a) {
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -314,9 +314,8 @@
     // granted here may be open at another target whose grant the client
     // accepted.
     if (!header.reset) {
-      actions.resets.push_back({id, header.acknowledged});
-      actions.decisions.push_back(
-          MakeDecision(DecisionKind::kFlowReset, id, "target_lost_flow"));
+      ResetFlow(id, *flow, header.acknowledged, "target_lost_flow", now,
+                actions);
     }
     flows_.Erase(id);
     return;
@@ -364,7 +363,7 @@
   served_.clear();
   const TargetChange change = target_.OnReport(report, now);
   if (change == TargetChange::kRestarted) {
-    ResetFlows("target_started_again", actions);
+    ResetFlows("target_started_again", now, actions);
     flows_.ResetTargetModels();
   }
   ServeQueue(now, actions);
@@ -380,25 +379,40 @@
   target_.OnResponse();
 }
 
-void AgentForwarder::OnTargetCrashed(AgentActions& actions) {
+void AgentForwarder::OnTargetCrashed(absl::Time now, AgentActions& actions) {
   target_.OnUnresponsive();
-  ResetFlows("target_crashed", actions);
+  ResetFlows("target_crashed", now, actions);
 }
 
 void AgentForwarder::ResetFlows(absl::string_view reason,
+                                absl::Time now,
                                 AgentActions& actions) {
   flows_.ForEach([&](const FlowId& id, const AgentFlows::Flow& flow) {
     if (flow.phase != AgentFlows::Phase::kOpen || !flow.confirmed)
       return;
-    actions.resets.push_back({id, flow.client_expects});
-    actions.decisions.push_back(
-        MakeDecision(DecisionKind::kFlowReset, id, reason));
+    ResetFlow(id, flow, flow.client_expects, reason, now, actions);
   });
   flows_.Clear();
   unanswered_.clear();
   granted_.clear();
 }
 
+void AgentForwarder::ResetFlow(const FlowId& id,
+                               const AgentFlows::Flow& flow,
+                               uint32_t sequence,
+                               absl::string_view reason,
+                               absl::Time now,
+                               AgentActions& actions) const {
+  actions.resets.push_back({id, sequence});
+  Decision decision = MakeDecision(DecisionKind::kFlowReset, id, reason);
+  decision.sequence = sequence;
+  AgentFlowEvidence evidence;
+  if (flow.opened != absl::Time())
+    evidence.age = now - flow.opened;
+  decision.evidence = evidence;
+  actions.decisions.push_back(decision);
+}
+
 void AgentForwarder::Tick(absl::Time now, AgentActions& actions) {
   served_.clear();
   timed_out_.clear();
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -61,14 +61,13 @@
   if (header.opening && !header.acknowledges)
     copies_.Record(header, now - socket_delay_, now);
   if (routes_ == nullptr) {
-    actions.decisions.push_back(
-        MakeDecision(DecisionKind::kDeferred, flow, "no_configuration"));
+    RecordDeferred(flow, "no_configuration", now, actions);
     return;
   }
   const Route* route = routes_->Find(header.destination);
   if (route == nullptr) {
     flows_.erase(flow);
-    Refuse(flow, header, "no_route", actions);
+    Refuse(flow, header, "no_route", now, actions);
     return;
   }
   if (header.opening) {
@@ -125,8 +124,7 @@
   if (agents_.AgentsOfService(message.service).empty() &&
       now - started_ < kSettleTime &&
       header.opening_time_left > kLastRetransmissionTimeLeft) {
-    actions.decisions.push_back(
-        MakeDecision(DecisionKind::kDeferred, flow, "no_agent_yet"));
+    RecordDeferred(flow, "no_agent_yet", now, actions);
     return;
   }
   const bool unanswered = !message.declined.empty();
@@ -243,11 +241,11 @@
   request.declined = {};
   const absl::optional<Placement> placement = PlaceFlow(agents_, request, now);
   if (!placement.has_value() || message.declined.empty()) {
-    if (DeferRefusal(flow, actions))
+    if (DeferRefusal(flow, now, actions))
       return true;
     PacketHeader header;
     header.opening = true;
-    Refuse(flow, header, "no_agent", actions);
+    Refuse(flow, header, "no_agent", now, actions);
     return false;
   }
   Decision decision =
@@ -337,7 +335,7 @@
   const Route* route =
       routes_ == nullptr ? nullptr : routes_->Find(header.destination);
   if (route == nullptr) {
-    Refuse(flow, header, "no_route", actions);
+    Refuse(flow, header, "no_route", now, actions);
     return;
   }
   if (!header.opening) {
@@ -355,8 +353,7 @@
   if (placed != flows_.end() && placed->second.agent != returned.agent.uid) {
     // Another agent has got the packet, since this one did not answer in time.
     // A reset would end the flow at that agent.
-    actions.decisions.push_back(
-        MakeDecision(DecisionKind::kDeferred, flow, "placed_elsewhere"));
+    RecordDeferred(flow, "placed_elsewhere", now, actions);
     return;
   }
   unanswered_.Erase(flow);
@@ -404,12 +401,32 @@
   }
   if (!IsHeldNowhere(search, route, now))
     return;
+  const SearchEvidence evidence = EvidenceOfSearch(search, route, now);
   searches_.erase(found);
   if (header.reset)
     return;
   actions.resets.push_back({flow, header.acknowledged});
-  actions.decisions.push_back(
-      MakeDecision(DecisionKind::kFlowReset, flow, "no_target_holds_it"));
+  Decision decision =
+      MakeDecision(DecisionKind::kFlowReset, flow, "no_target_holds_it");
+  decision.sequence = header.acknowledged;
+  decision.evidence = evidence;
+  actions.decisions.push_back(decision);
+}
+
+SearchEvidence EntryForwarder::EvidenceOfSearch(const Search& search,
+                                                const Route& route,
+                                                absl::Time now) const {
+  SearchEvidence evidence;
+  evidence.queried = static_cast<uint32_t>(search.queried.size());
+  evidence.uptime = now - started_;
+  absl::Time newest = absl::InfinitePast();
+  for (const RouteShare& share : route.shares) {
+    evidence.known +=
+        static_cast<uint32_t>(agents_.AgentsOfService(share.service).size());
+    newest = std::max(newest, agents_.last_appeared(share.service));
+  }
+  evidence.newest_agent = now - newest;
+  return evidence;
 }
 
 bool EntryForwarder::IsHeldNowhere(const Search& search,
@@ -447,21 +464,40 @@
 void EntryForwarder::Refuse(const FlowId& flow,
                             const PacketHeader& header,
                             absl::string_view reason,
+                            absl::Time now,
                             EntryActions& actions) const {
   if (header.reset)
     return;
   actions.resets.push_back({flow, header.acknowledged});
-  actions.decisions.push_back(
-      MakeDecision(DecisionKind::kRefused, flow, reason));
+  Decision decision = MakeDecision(DecisionKind::kRefused, flow, reason);
+  decision.sequence = header.acknowledged;
+  decision.evidence = EvidenceOfOpening(flow, now);
+  actions.decisions.push_back(decision);
+}
+
+void EntryForwarder::RecordDeferred(const FlowId& flow,
+                                    absl::string_view reason,
+                                    absl::Time now,
+                                    EntryActions& actions) const {
+  Decision decision = MakeDecision(DecisionKind::kDeferred, flow, reason);
+  decision.evidence = EvidenceOfOpening(flow, now);
+  actions.decisions.push_back(decision);
+}
+
+OpeningEvidence EntryForwarder::EvidenceOfOpening(const FlowId& flow,
+                                                  absl::Time now) const {
+  const OpeningCopies::Copies copies = copies_.Find(flow);
+  return {copies.received, now - copies.first_sent};
 }
 
-bool EntryForwarder::DeferRefusal(const FlowId& flow, EntryActions& actions) {
+bool EntryForwarder::DeferRefusal(const FlowId& flow,
+                                  absl::Time now,
+                                  EntryActions& actions) {
   const auto placed = flows_.find(flow);
   if (placed == flows_.end() || !placed->second.unanswered_elsewhere)
     return false;
   flows_.erase(placed);
-  actions.decisions.push_back(
-      MakeDecision(DecisionKind::kDeferred, flow, "agent_silent"));
+  RecordDeferred(flow, "agent_silent", now, actions);
   return true;
 }
 
@@ -469,7 +505,7 @@
                                     const FlowId& flow,
                                     absl::Time now,
                                     EntryActions& actions) {
-  if (DeferRefusal(flow, actions))
+  if (DeferRefusal(flow, now, actions))
     return;
   // The flow never opened, so any sequence number is valid.
   actions.resets.push_back({flow, 0});
@@ -483,6 +519,7 @@
     flows_.erase(placed);
   }
   decision.agent = returned.agent.uid;
+  decision.evidence = EvidenceOfOpening(flow, now);
   decision.busy = returned.load.busy;
   decision.slots = returned.load.slots;
   decision.hops = static_cast<uint32_t>(returned.declined.size());
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -101,7 +101,7 @@
                             : probe == TargetProbe::kRefused ? "refused"
                                                              : "unclear");
       if (probe == TargetProbe::kRefused)
-        loop.forwarder_.OnTargetCrashed(loop.actions_);
+        loop.forwarder_.OnTargetCrashed(now, loop.actions_);
       if (probe == TargetProbe::kHealthy) {
         loop.forwarder_.OnTargetHealthy(kAssumedSlots);
         loop.nodes_.MakeAllDue();
--- a/lib/node/decision_history.cc
+++ b/lib/node/decision_history.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "decision_fields.h"
 #include "decision_log.h"
 #include "skylarkshunt/base/ids.h"
 
@@ -26,20 +27,24 @@
     std::string name = decision.flow.ToString();
     if (!flow.empty() && name != flow)
       continue;
-    list.push_back(
-        {{"time_ms", absl::ToUnixMillis(entry.time)},
-         {"decision", std::string(DecisionName(decision.kind))},
-         {"flow", std::move(name)},
-         {"reason", std::string(decision.reason)},
-         {"agent", ToHex(ToNumber(decision.agent))},
-         {"busy", decision.busy},
-         {"slots", decision.slots},
-         {"time_us", absl::ToInt64Microseconds(decision.time)},
-         {"view_age_ms", absl::ToInt64Milliseconds(decision.view_age)},
-         {"hops", decision.hops},
-         {"configuration", decision.configuration},
-         {"waited_ms", absl::ToInt64Milliseconds(decision.waited)},
-         {"attempt", decision.attempt}});
+    nlohmann::json fields = {
+        {"time_ms", absl::ToUnixMillis(entry.time)},
+        {"decision", std::string(DecisionName(decision.kind))},
+        {"flow", std::move(name)},
+        {"reason", std::string(decision.reason)},
+        {"agent", ToHex(ToNumber(decision.agent))},
+        {"busy", decision.busy},
+        {"slots", decision.slots},
+        {"time_us", absl::ToInt64Microseconds(decision.time)},
+        {"view_age_ms", absl::ToInt64Milliseconds(decision.view_age)},
+        {"hops", decision.hops},
+        {"configuration", decision.configuration},
+        {"waited_ms", absl::ToInt64Milliseconds(decision.waited)},
+        {"attempt", decision.attempt}};
+    WriteEvidence(decision, [&fields](const char* key, const auto& value) {
+      fields[key] = value;
+    });
+    list.push_back(std::move(fields));
   }
   return list.dump();
 }
--- a/lib/node/decision_log.cc
+++ b/lib/node/decision_log.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "decision_fields.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/base/ids.h"
 
@@ -115,6 +116,9 @@
       .Field("configuration", decision.configuration)
       .Field("waited_ms", absl::ToInt64Milliseconds(decision.waited))
       .Field("attempt", uint32_t{decision.attempt});
+  WriteEvidence(decision, [&line](const char* name, const auto& value) {
+    line.Field(name, value);
+  });
 }
 
 void DecisionLog::Count(const Decision& decision) {
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <limits>
+#include <variant>
 
 #include "packets.h"
 
@@ -72,6 +73,7 @@
   CPPUNIT_TEST(ResetRequestsOfAFailingTargetAreReported);
   CPPUNIT_TEST(HangingRequestsOfAFailingTargetAreReported);
   CPPUNIT_TEST(WaitingDuringPeakLoadIsNoFailure);
+  CPPUNIT_TEST(ResetNamesTheAgeOfTheFlow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -358,7 +360,7 @@
     Start();
     const FlowPackets flow;
     OpenUntilRequest(flow);
-    agent_.OnTargetCrashed(actions_);
+    agent_.OnTargetCrashed(now_, actions_);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
     CPPUNIT_ASSERT(!agent_.load(now_).accepts_flows());
   }
@@ -487,11 +489,54 @@
     agent_.OnForwarded(Forward(ForwardMode::kEstablished),
                        other.Request(kOtherGrant), kEntry, now_, actions_);
     actions_.Clear();
-    agent_.OnTargetCrashed(actions_);
+    agent_.OnTargetCrashed(now_, actions_);
     CPPUNIT_ASSERT(actions_.resets.empty());
   }
 
+  // Guards against a reset whose decision does not show that the flow may
+  // belong to the target's next incarnation.
+  void ResetNamesTheAgeOfTheFlow() {
+    agent_.OnTargetReport(MakeReport(40), now_, actions_);
+    const FlowPackets adopted(1);
+    agent_.OnTargetPacket(adopted.Answer(false), kPacketBytes, now_, actions_);
+    ExpectResetFlow(agent_.OnTargetReport(MakeReport(1, 2000), now_, actions_),
+                    0, absl::InfiniteDuration());
+    const FlowPackets opened(2);
+    OpenUntilRequest(opened);
+    Pass(absl::Milliseconds(40));
+    ExpectResetFlow(agent_.OnTargetReport(MakeReport(1, 3000), now_, actions_),
+                    9001, absl::Milliseconds(40));
+    OpenUntilRequest(opened);
+    agent_.OnTargetPacket(opened.Answer(false), kPacketBytes, now_, actions_);
+    Pass(absl::Milliseconds(15));
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished), opened.Request(),
+                       kEntry, now_, actions_);
+    const uint32_t token = actions_.to_target.at(0).return_token;
+    agent_.OnTargetPacket(FlowPackets::Returned(opened.Request(), token),
+                          kPacketBytes, now_, actions_);
+    ExpectReset("target_lost_flow", 9001, absl::Milliseconds(15));
+  }
+
  private:
+  void ExpectResetFlow(TargetChange change,
+                       uint32_t sequence,
+                       absl::Duration age) {
+    CPPUNIT_ASSERT(change == TargetChange::kRestarted);
+    ExpectReset("target_started_again", sequence, age);
+  }
+
+  /// Checks the last decision, which is to reset a flow.
+  void ExpectReset(absl::string_view reason,
+                   uint32_t sequence,
+                   absl::Duration age) {
+    const Decision& decision = actions_.decisions.back();
+    CPPUNIT_ASSERT(decision.kind == DecisionKind::kFlowReset);
+    CPPUNIT_ASSERT(decision.reason == reason);
+    CPPUNIT_ASSERT_EQUAL(sequence, decision.sequence);
+    CPPUNIT_ASSERT_EQUAL(sequence, actions_.resets.back().sequence);
+    CPPUNIT_ASSERT(std::get<AgentFlowEvidence>(decision.evidence).age == age);
+  }
+
   void Start() { agent_.OnTargetReport(MakeReport(1), now_, actions_); }
 
   void Pass(absl::Duration time) {
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <variant>
 
 #include "packets.h"
 
@@ -70,6 +71,8 @@
   CPPUNIT_TEST(RefusalIsDeferredWhileAnotherAgentMayHoldTheFlow);
   CPPUNIT_TEST(RefusedAtOnceWhenNobodyAccepts);
   CPPUNIT_TEST(CopiesOfOpeningPacketsAreRecorded);
+  CPPUNIT_TEST(RefusalNamesTheReceivedCopies);
+  CPPUNIT_TEST(ResetAfterASearchNamesTheKnownAgents);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -394,6 +397,69 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, copies.size());
   }
 
+  // Guards against a refusal whose decision does not show that another entry
+  // has received the first copy of the opening packet.
+  void RefusalNamesTheReceivedCopies() {
+    const FlowPackets flow;
+    entry_.set_socket_delay(absl::Milliseconds(30));
+    Client(flow.Opening(1));
+    const uint64_t uid = UidAt(actions_.to_agents.at(0).agent);
+    now_ += absl::Milliseconds(7);
+    Return(uid, flow.Opening(1), ReturnReason::kNoSlotInTime,
+           ForwardMode::kOpening);
+    const Decision refused = actions_.decisions.at(0);
+    CPPUNIT_ASSERT(refused.kind == DecisionKind::kRefused);
+    CPPUNIT_ASSERT_EQUAL(actions_.resets.at(0).sequence, refused.sequence);
+    const auto& opening = std::get<OpeningEvidence>(refused.evidence);
+    CPPUNIT_ASSERT_EQUAL(uint8_t{2}, opening.copies);
+    CPPUNIT_ASSERT(opening.age ==
+                   absl::Milliseconds(237) + OpeningCopies::kNetworkTime);
+    // A packet without a route may belong to an open flow.
+    const FlowPackets foreign(1, {0xc6120009, 443});
+    Client(foreign.Request());
+    const Decision no_route = actions_.decisions.at(0);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{9001}, no_route.sequence);
+    const auto& none = std::get<OpeningEvidence>(no_route.evidence);
+    CPPUNIT_ASSERT_EQUAL(uint8_t{0}, none.copies);
+    CPPUNIT_ASSERT(none.age == absl::InfiniteDuration());
+    // A packet that is dropped for lack of a configuration counts, too.
+    EntryForwarder unconfigured(kLocalDataCentre, kStart);
+    actions_.Clear();
+    unconfigured.OnClientPacket(flow.Opening(), kPacketBytes, now_, actions_);
+    const Decision deferred = actions_.decisions.at(0);
+    CPPUNIT_ASSERT(deferred.kind == DecisionKind::kDeferred);
+    CPPUNIT_ASSERT_EQUAL(uint8_t{1},
+                         std::get<OpeningEvidence>(deferred.evidence).copies);
+  }
+
+  // Guards against a reset whose decision does not show that the entry had
+  // just started, or had learned of an agent a moment before.
+  void ResetAfterASearchNamesTheKnownAgents() {
+    Age(absl::Seconds(3));
+    CPPUNIT_ASSERT(entry_.agents().last_appeared(kService) == kStart);
+    CPPUNIT_ASSERT(entry_.agents().last_appeared(MakeServiceUid("schemata")) ==
+                   absl::InfinitePast());
+    AgentLoad down = Load(0);
+    down.state = InstanceState::kDown;
+    entry_.agents().Update(Identity(4), down, EndpointOf(4), now_);
+    Age(absl::Milliseconds(200));
+    // An agent that restarted is not a new one.
+    entry_.agents().Update(Identity(1, kLocalDataCentre, 2), Load(0),
+                           EndpointOf(1), now_);
+    const FlowPackets flow;
+    Client(flow.Request());
+    for (uint64_t uid = 1; uid <= 3; ++uid)
+      Return(uid, flow.Request(), ReturnReason::kNotHeld, ForwardMode::kSearch);
+    const Decision& reset = actions_.decisions.at(0);
+    CPPUNIT_ASSERT(reset.kind == DecisionKind::kFlowReset);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{9001}, reset.sequence);
+    const auto& search = std::get<SearchEvidence>(reset.evidence);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{3}, search.queried);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{4}, search.known);
+    CPPUNIT_ASSERT(search.uptime == absl::Milliseconds(3200));
+    CPPUNIT_ASSERT(search.newest_agent == absl::Milliseconds(200));
+  }
+
  private:
   static uint64_t UidAt(Endpoint agent) { return agent.address - 0x0a020000; }
 
