Log a flow that two agents hold

Two targets may open one flow when copies of its opening packet reach different entries. The entry that got a second answer moved the flow to the other agent without a trace. SKS2115 flow_held_twice now names both agents when the flow was established at the first one. What is sent to whom does not change.

--- a/include/skylarkshunt/forwarding/decision.h
+++ b/include/skylarkshunt/forwarding/decision.h
@@ -24,8 +24,9 @@
   kAccepted = 7,     ///< Agent: an opening packet went to the target.
   kReturned = 8,     ///< Agent: a packet was returned to its entry.
   kAnswered = 9,     ///< Agent: the first byte of an answer arrived.
+  kHeldTwice = 10,   ///< Entry: two agents claim an established flow.
 };
-inline constexpr size_t kDecisionKinds = 10;
+inline constexpr size_t kDecisionKinds = 11;
 
 /// kRefused and kDeferred: what the entry knows of the copies of the opening
 /// packet. Routers may have sent other copies to other entries.
@@ -56,9 +57,17 @@
   absl::Duration age = absl::InfiniteDuration();
 };
 
+/// kHeldTwice: the agent that the entry had cached for the flow.
+struct OtherHolderEvidence {
+  InstanceUid agent{};
+};
+
 /// What a decision about the end or the holder of a flow was based on.
-using Evidence = std::
-    variant<std::monostate, OpeningEvidence, SearchEvidence, AgentFlowEvidence>;
+using Evidence = std::variant<std::monostate,
+                              OpeningEvidence,
+                              SearchEvidence,
+                              AgentFlowEvidence,
+                              OtherHolderEvidence>;
 
 /// One decision with the inputs that led to it. `reason` has static storage.
 struct Decision {
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -104,6 +104,9 @@
     /// Another agent got the opening packet before and did not answer. It may
     /// have opened the flow.
     bool unanswered_elsewhere = false;
+    /// The agent got a packet other than an opening packet, or answered a
+    /// search for the flow.
+    bool established = false;
   };
   /// State of a search for the agent that holds a flow. The candidates of the
   /// flow are queried first, then all agents.
@@ -194,7 +197,9 @@
                       const FlowId& flow,
                       absl::Time now,
                       EntryActions& actions);
-  void CacheFlow(const FlowId& flow, InstanceUid agent, absl::Time now);
+  /// Returns the cached flow, or null if the cache is full. Valid until a flow
+  /// is added or erased.
+  CachedFlow* CacheFlow(const FlowId& flow, InstanceUid agent, absl::Time now);
   OpeningEvidence EvidenceOfOpening(const FlowId& flow, absl::Time now) const;
   SearchEvidence EvidenceOfSearch(const Search& search,
                                   const Route& route,
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -82,6 +82,7 @@
     return;
   }
   cached->second.used = now;
+  cached->second.established = true;
   ForwardedPacket message;
   message.mode = ForwardMode::kEstablished;
   message.service = agent->identity.service;
@@ -116,6 +117,9 @@
             kRetransmissionSuspectShare * agent->suspect_timeout &&
         agent->identity.service == message.service) {
       cached->second.used = now;
+      // The packet may open a new flow with the addresses and ports of an
+      // earlier one.
+      cached->second.established = false;
       actions.to_agents.push_back({agent->endpoint, message});
       return;
     }
@@ -451,9 +455,21 @@
                               absl::Time now,
                               EntryActions& actions) {
   agents_.Update(placed.agent, placed.load, agent, now);
-  CacheFlow(placed.flow, placed.agent.uid, now);
+  const auto known = flows_.find(placed.flow);
+  const bool established = known != flows_.end() && known->second.established;
+  if (established && known->second.agent != placed.agent.uid) {
+    Decision decision = MakeDecision(DecisionKind::kHeldTwice, placed.flow,
+                                     "established_elsewhere");
+    decision.agent = placed.agent.uid;
+    decision.evidence = OtherHolderEvidence{known->second.agent};
+    actions.decisions.push_back(decision);
+  }
+  const bool searched = searches_.erase(placed.flow) > 0;
+  CachedFlow* cached = CacheFlow(placed.flow, placed.agent.uid, now);
+  if (cached != nullptr)
+    cached->established = established || searched;
   unanswered_.Erase(placed.flow);
-  if (searches_.erase(placed.flow) > 0) {
+  if (searched) {
     Decision decision =
         MakeDecision(DecisionKind::kFound, placed.flow, "agent_holds_it");
     decision.agent = placed.agent.uid;
@@ -526,15 +542,17 @@
   actions.decisions.push_back(decision);
 }
 
-void EntryForwarder::CacheFlow(const FlowId& flow,
-                               InstanceUid agent,
-                               absl::Time now) {
+EntryForwarder::CachedFlow* EntryForwarder::CacheFlow(const FlowId& flow,
+                                                      InstanceUid agent,
+                                                      absl::Time now) {
   if (flows_.size() >= kMaxCachedFlows && !flows_.contains(flow))
-    return;
+    return nullptr;
   CachedFlow& cached =
       flows_.try_emplace(flow, CachedFlow{agent, now, {now, 0}}).first->second;
   cached.agent = agent;
   cached.used = now;
+  cached.established = false;
+  return &cached;
 }
 
 void EntryForwarder::RecordRefused(const FlowId& flow,
--- a/lib/node/decision_fields.h
+++ b/lib/node/decision_fields.h
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
+#include "skylarkshunt/base/ids.h"
 #include "skylarkshunt/forwarding/decision.h"
 #include "skylarkshunt/forwarding/opening_copies.h"
 
@@ -52,6 +53,9 @@
   void operator()(const AgentFlowEvidence& flow) const {
     write("flow_age_ms", MillisecondsIfKnown(flow.age));
   }
+  void operator()(const OtherHolderEvidence& holder) const {
+    write("other", ToHex(ToNumber(holder.agent)));
+  }
 };
 
 /// Calls `write` with the name and the value of each field that only decisions
--- a/lib/node/decision_log.cc
+++ b/lib/node/decision_log.cc
@@ -20,6 +20,7 @@
 constexpr EventId kFlowAccepted{3151, "flow_accepted_at_target"};
 constexpr EventId kPacketReturned{3152, "packet_given_back"};
 constexpr EventId kFlowAnswered{3153, "flow_answered"};
+constexpr EventId kFlowHeldTwice{2115, "flow_held_twice"};
 constexpr EventId kDecisionsOmitted{2108, "decisions_left_out"};
 
 struct KindInfo {
@@ -42,6 +43,7 @@
     {kFlowAccepted, 150},
     {kPacketReturned, 50},
     {kFlowAnswered, 150},
+    {kFlowHeldTwice, 20},
 }};
 
 /// Attempts of a client at a request, with 0 for an unknown one.
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 #include <variant>
 
@@ -73,6 +74,7 @@
   CPPUNIT_TEST(CopiesOfOpeningPacketsAreRecorded);
   CPPUNIT_TEST(RefusalNamesTheReceivedCopies);
   CPPUNIT_TEST(ResetAfterASearchNamesTheKnownAgents);
+  CPPUNIT_TEST(SecondHolderOfAFlowIsReported);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -460,6 +462,33 @@
     CPPUNIT_ASSERT(search.newest_agent == absl::Milliseconds(200));
   }
 
+  // Guards against a flow that opened at two targets and leaves no trace in
+  // the log, and against a report for a flow that was only placed again.
+  void SecondHolderOfAFlowIsReported() {
+    const FlowPackets flow;
+    Client(flow.Request());
+    Placed(2, flow);
+    CPPUNIT_ASSERT(FindDecision(DecisionKind::kHeldTwice) == nullptr);
+    Placed(2, flow);
+    CPPUNIT_ASSERT(actions_.decisions.empty());
+    Placed(3, flow);
+    const Decision* twice = FindDecision(DecisionKind::kHeldTwice);
+    CPPUNIT_ASSERT(twice != nullptr);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, ToNumber(twice->agent));
+    CPPUNIT_ASSERT_EQUAL(
+        uint64_t{2},
+        ToNumber(std::get<OtherHolderEvidence>(twice->evidence).agent));
+    const FlowPackets opening(2);
+    Client(opening.Opening());
+    for (uint64_t uid = 1; uid <= 3; ++uid) {
+      Placed(uid, opening);
+      CPPUNIT_ASSERT(actions_.decisions.empty());
+    }
+    Client(opening.Request());
+    Placed(1, opening);
+    CPPUNIT_ASSERT(FindDecision(DecisionKind::kHeldTwice) != nullptr);
+  }
+
  private:
   static uint64_t UidAt(Endpoint agent) { return agent.address - 0x0a020000; }
 
@@ -471,6 +500,14 @@
     entry_.agents().UpdateFromReport(report, EndpointOf(uid), now_);
   }
 
+  /// Returns the decision of `kind` in the last actions, or null.
+  const Decision* FindDecision(DecisionKind kind) const {
+    const auto found = std::find_if(
+        actions_.decisions.begin(), actions_.decisions.end(),
+        [kind](const Decision& decision) { return decision.kind == kind; });
+    return found == actions_.decisions.end() ? nullptr : &*found;
+  }
+
   /// Advances the time by `time`, with a report of every agent.
   void Age(absl::Duration time) {
     now_ += time;
--- a/unittests/node/decision_log_test.cc
+++ b/unittests/node/decision_log_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST_SUITE(DecisionLogTest);
   CPPUNIT_TEST(RefusalNamesTheCopiesOfItsOpeningPacket);
   CPPUNIT_TEST(ResetNamesWhatItWasBasedOn);
+  CPPUNIT_TEST(SecondHolderIsAnEventOfItsOwn);
   CPPUNIT_TEST(OtherLinesHaveNoFurtherFields);
   CPPUNIT_TEST_SUITE_END();
 
@@ -101,6 +102,18 @@
                "SKS2107 flow_cut ", " attempt=0 flow_age_ms=-1 sequence=9001");
   }
 
+  // Guards against a flow that two agents claim without a trace.
+  void SecondHolderIsAnEventOfItsOwn() {
+    ExpectLine(MakeDecision(DecisionKind::kHeldTwice,
+                            OtherHolderEvidence{InstanceUid{0xa1}}),
+               "SKS2115 flow_held_twice ", " attempt=0 other=00000000000000a1");
+    CPPUNIT_ASSERT_EQUAL(std::string("00000000000000a1"),
+                         LastOfHistory()["other"].get<std::string>());
+    CPPUNIT_ASSERT(absl::StrContains(
+        counters_.ToText(),
+        "skylarkshunt_decisions_total{kind=\"flow_held_twice\"} 1"));
+  }
+
   // Guards against a log volume that grows with every event.
   void OtherLinesHaveNoFurtherFields() {
     ExpectLine(MakeDecision(DecisionKind::kPlaced, {}), "SKS2101 flow_placed ",
