Count denials of flows by evidence, and searches by outcome

An agent denies a flow because it knows all flows of its target, because it does not know its target, because the target returned a packet, or because the client accepted another target. Answers to searches are not logged, so the four could not be told apart; skylarkshunt_not_held_total counts them. skylarkshunt_searches_total counts the searches of an entry that found the flow, proved that nobody holds it, or ended without either.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -57,6 +57,15 @@
   void Clear();
 };
 
+/// Why an agent reports that it does not hold a flow.
+enum class NotHeldEvidence : uint8_t {
+  kSeenFromStart = 0,   ///< It knows all flows of the target's incarnation.
+  kTargetDown = 1,      ///< The target is unknown or has ended.
+  kTargetReturned = 2,  ///< The target returned a packet of the flow.
+  kOtherGrant = 3,      ///< The client accepted the grant of another target.
+};
+inline constexpr size_t kNotHeldEvidences = 4;
+
 /// Decides how an agent handles the packets to and from its target, and derives
 /// the target's load from them. Pure: the inputs are packets, messages, reports
 /// and the time, the outputs are actions. Not thread-safe.
@@ -109,6 +118,10 @@
   /// State of the queue of opening packets, for operators.
   AdmissionState admission() const;
   const TargetState& target() const { return target_; }
+  /// Number of reports to entries that a flow is not held, by NotHeldEvidence.
+  const std::array<uint64_t, kNotHeldEvidences>& not_held_counts() const {
+    return not_held_counts_;
+  }
 
  private:
   /// Origin of a packet that the target may return.
@@ -179,6 +192,15 @@
   uint32_t Deliver(Delivery delivery,
                    absl::Span<const uint8_t> packet,
                    AgentActions& actions);
+  void ReturnNotHeld(const Delivery& delivery,
+                     NotHeldEvidence evidence,
+                     absl::Span<const uint8_t> packet,
+                     absl::Time now,
+                     AgentActions& actions);
+  /// Returns why an unknown flow is not held; no value if only the target can
+  /// tell.
+  absl::optional<NotHeldEvidence> EvidenceAgainst(const FlowId& flow,
+                                                  absl::Time now) const;
   void ResetFlows(absl::string_view reason,
                   absl::Time now,
                   AgentActions& actions);
@@ -212,6 +234,7 @@
   /// Timed-out packets that Tick() returned. Actions point to their bytes.
   std::vector<Unanswered> timed_out_;
   OverloadTimer overload_;
+  std::array<uint64_t, kNotHeldEvidences> not_held_counts_{};
   bool leaving_ = false;
   absl::Time next_sweep_;
 };
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -45,6 +45,16 @@
   void Clear();
 };
 
+/// Number of searches by outcome since the start of the entry.
+struct SearchCounts {
+  uint64_t found = 0;
+  /// All agents reported that they do not hold the flow.
+  uint64_t held_nowhere = 0;
+  /// No agent reported the flow, and the answers did not prove that none holds
+  /// it.
+  uint64_t not_proven = 0;
+};
+
 /// Decides where an entry sends the packets of clients. Pure: the inputs are
 /// packets, messages and the time, the outputs are actions. Its flow state is
 /// only a cache; for a flow that is not cached it queries the agents. Not
@@ -95,6 +105,7 @@
   void ExpireIdle(absl::Time now);
 
   size_t cached_flows() const { return flows_.size(); }
+  const SearchCounts& search_counts() const { return search_counts_; }
 
  private:
   struct CachedFlow {
@@ -222,6 +233,7 @@
   UnansweredOpenings unanswered_;
   OpeningCopies copies_;
   absl::Duration socket_delay_;
+  SearchCounts search_counts_;
   /// Timed-out packets that Tick() sent to another agent. Actions point to
   /// their bytes.
   std::vector<UnansweredOpenings::Opening> timed_out_;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -210,14 +210,9 @@
   delivery.mode = forwarded.mode;
   AgentFlows::Flow* flow = flows_.Find(id);
   if (flow == nullptr) {
-    const auto denied = not_held_.find(id);
-    const bool not_held =
-        target_.seen_from_start() ||
-        target_.state(now) == InstanceState::kDown ||
-        (denied != not_held_.end() && now - denied->second < kNotHeldLifetime);
-    if (not_held)
-      ReturnToEntry(delivery, ReturnReason::kNotHeld, forwarded.packet, now,
-                    actions);
+    const absl::optional<NotHeldEvidence> evidence = EvidenceAgainst(id, now);
+    if (evidence.has_value())
+      ReturnNotHeld(delivery, *evidence, forwarded.packet, now, actions);
     else
       Deliver(std::move(delivery), forwarded.packet, actions);
     return;
@@ -225,7 +220,7 @@
   if (AgentFlows::AcknowledgesOtherGrant(*flow, header)) {
     // The client accepted the grant of another target.
     flows_.Erase(id);
-    ReturnToEntry(delivery, ReturnReason::kNotHeld, forwarded.packet, now,
+    ReturnNotHeld(delivery, NotHeldEvidence::kOtherGrant, forwarded.packet, now,
                   actions);
     return;
   }
@@ -323,6 +318,29 @@
   flows_.Erase(id);
   if (not_held_.size() < kMaxNotHeld)
     not_held_[id] = now;
+  ReturnNotHeld(delivery, NotHeldEvidence::kTargetReturned, packet, now,
+                actions);
+}
+
+absl::optional<NotHeldEvidence> AgentForwarder::EvidenceAgainst(
+    const FlowId& flow,
+    absl::Time now) const {
+  if (target_.seen_from_start())
+    return NotHeldEvidence::kSeenFromStart;
+  if (target_.state(now) == InstanceState::kDown)
+    return NotHeldEvidence::kTargetDown;
+  const auto returned = not_held_.find(flow);
+  if (returned != not_held_.end() && now - returned->second < kNotHeldLifetime)
+    return NotHeldEvidence::kTargetReturned;
+  return absl::nullopt;
+}
+
+void AgentForwarder::ReturnNotHeld(const Delivery& delivery,
+                                   NotHeldEvidence evidence,
+                                   absl::Span<const uint8_t> packet,
+                                   absl::Time now,
+                                   AgentActions& actions) {
+  ++not_held_counts_[static_cast<size_t>(evidence)];
   ReturnToEntry(delivery, ReturnReason::kNotHeld, packet, now, actions);
 }
 
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -407,6 +407,7 @@
     return;
   const SearchEvidence evidence = EvidenceOfSearch(search, route, now);
   searches_.erase(found);
+  ++search_counts_.held_nowhere;
   if (header.reset)
     return;
   actions.resets.push_back({flow, header.acknowledged});
@@ -470,6 +471,7 @@
     cached->established = established || searched;
   unanswered_.Erase(placed.flow);
   if (searched) {
+    ++search_counts_.found;
     Decision decision =
         MakeDecision(DecisionKind::kFound, placed.flow, "agent_holds_it");
     decision.agent = placed.agent.uid;
@@ -574,9 +576,11 @@
   });
   retries_.Expire(now);
   copies_.Expire(now);
+  const size_t searches = searches_.size();
   absl::erase_if(searches_, [now](const auto& search) {
     return now - search.second.started > kSearchLifetime;
   });
+  search_counts_.not_proven += searches - searches_.size();
 }
 
 Decision EntryForwarder::MakeDecision(DecisionKind kind,
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
+#include <array>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "node_loop.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/base/hash.h"
@@ -31,6 +33,11 @@
 constexpr uint16_t kFailingPermille = 250;
 constexpr uint16_t kRecoveredPermille = 50;
 
+/// By NotHeldEvidence.
+constexpr std::array<absl::string_view, kNotHeldEvidences>
+    kNotHeldEvidenceNames = {"seen_from_start", "target_down",
+                             "target_returned", "other_grant"};
+
 /// Slots assumed for a healthy target until its first report: the smaller of
 /// the usual numbers. A target queues requests beyond its slots.
 constexpr uint32_t kAssumedSlots = 4;
@@ -54,7 +61,15 @@
                options.node.peers.address,
                kAgentReportInterval,
                options.node.seeds,
-               started_) {}
+               started_) {
+    for (size_t i = 0; i < kNotHeldEvidences; ++i) {
+      not_held_[i] = &options.counters->Find(
+          "skylarkshunt_not_held_total",
+          "Reports to entries that a flow is not held, by evidence.",
+          MetricType::kCounter,
+          absl::StrCat("evidence=\"", kNotHeldEvidenceNames[i], "\""));
+    }
+  }
   AgentLoop(const AgentLoop&) = delete;
   AgentLoop& operator=(const AgentLoop&) = delete;
   ~AgentLoop() override { Stop(); }
@@ -185,6 +200,8 @@
     nodes_.RemoveUnresponsive(now);
     PublishStatus(now);
     LogOutcomes(now);
+    for (size_t i = 0; i < kNotHeldEvidences; ++i)
+      not_held_[i]->Set(forwarder_.not_held_counts()[i]);
   }
 
   void Execute(absl::Time now) {
@@ -313,6 +330,8 @@
   uint64_t sequence_ = 0;
   absl::Time last_report_ = absl::InfinitePast();
   bool failing_ = false;
+  /// By NotHeldEvidence.
+  std::array<Counter*, kNotHeldEvidences> not_held_{};
 };
 
 }  // namespace
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "node_loop.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/base/hash.h"
@@ -44,6 +45,9 @@
                  std::move(wakeup),
                  kSuspended),
         forwarder_(DataCentreHash(options), started_),
+        found_(SearchCounter(options, "found")),
+        held_nowhere_(SearchCounter(options, "held_nowhere")),
+        not_proven_(SearchCounter(options, "not_proven")),
         ignored_reports_(options.counters->Find(
             "skylarkshunt_refusal_reports_ignored_total",
             "Reports of refusals from addresses that are not entries.")),
@@ -66,6 +70,14 @@
     return static_cast<uint32_t>(StableHash(options.node.data_centre, 0));
   }
 
+  static Counter& SearchCounter(const Options& options,
+                                absl::string_view outcome) {
+    return options.counters->Find(
+        "skylarkshunt_searches_total",
+        "Searches for the agent that holds a flow, by outcome.",
+        MetricType::kCounter, absl::StrCat("outcome=\"", outcome, "\""));
+  }
+
   struct CommandHandler {
     EntryLoop& loop;
     absl::Time now;
@@ -235,6 +247,10 @@
 
   void Sweep(absl::Time now) override {
     forwarder_.ExpireIdle(now);
+    const SearchCounts& searches = forwarder_.search_counts();
+    found_.Set(searches.found);
+    held_nowhere_.Set(searches.held_nowhere);
+    not_proven_.Set(searches.not_proven);
     nodes_.RemoveUnresponsive(now);
     SendToPeers(peers_.MakeQuery(nodes_.PresentEntries(now)));
     PublishStatus(now);
@@ -286,6 +302,9 @@
   }
 
   EntryForwarder forwarder_;
+  Counter& found_;
+  Counter& held_nowhere_;
+  Counter& not_proven_;
   Counter& ignored_reports_;
   EntryPeers peers_;
   NodeDirectory nodes_;
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <limits>
 #include <variant>
 
@@ -74,6 +75,7 @@
   CPPUNIT_TEST(HangingRequestsOfAFailingTargetAreReported);
   CPPUNIT_TEST(WaitingDuringPeakLoadIsNoFailure);
   CPPUNIT_TEST(ResetNamesTheAgeOfTheFlow);
+  CPPUNIT_TEST(NotHeldAnswersAreCountedByEvidence);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -517,7 +519,43 @@
     ExpectReset("target_lost_flow", 9001, absl::Milliseconds(15));
   }
 
+  // Guards against an agent that denies flows of a target that it does not
+  // know, and whose answers look like those of one that does.
+  void NotHeldAnswersAreCountedByEvidence() {
+    const FlowPackets unknown(1);
+    Search(unknown);
+    ExpectNotHeld({0, 1, 0, 0});
+    agent_.OnTargetHealthy(4);
+    Search(unknown);
+    const uint32_t token = actions_.to_target.at(0).return_token;
+    ExpectNotHeld({0, 1, 0, 0});
+    agent_.OnTargetPacket(FlowPackets::Returned(unknown.Request(), token),
+                          kPacketBytes, now_, actions_);
+    Search(unknown);
+    ExpectNotHeld({0, 1, 2, 0});
+    Start();
+    Search(unknown);
+    ExpectNotHeld({1, 1, 2, 0});
+    const FlowPackets granted(2);
+    Open(granted);
+    agent_.OnTargetPacket(granted.Grant(), kPacketBytes, now_, actions_);
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                       granted.Request(kOtherGrant), kEntry, now_, actions_);
+    ExpectNotHeld({1, 1, 2, 1});
+  }
+
  private:
+  void Search(const FlowPackets& flow) {
+    actions_.Clear();
+    agent_.OnForwarded(Forward(ForwardMode::kSearch), flow.Request(), kEntry,
+                       now_, actions_);
+  }
+
+  void ExpectNotHeld(
+      const std::array<uint64_t, kNotHeldEvidences>& counts) const {
+    CPPUNIT_ASSERT(agent_.not_held_counts() == counts);
+  }
+
   void ExpectResetFlow(TargetChange change,
                        uint32_t sequence,
                        absl::Duration age) {
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(RefusalNamesTheReceivedCopies);
   CPPUNIT_TEST(ResetAfterASearchNamesTheKnownAgents);
   CPPUNIT_TEST(SecondHolderOfAFlowIsReported);
+  CPPUNIT_TEST(SearchesAreCountedByOutcome);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -489,6 +490,23 @@
     CPPUNIT_ASSERT(FindDecision(DecisionKind::kHeldTwice) != nullptr);
   }
 
+  // Guards against searches that end without an answer and are not counted.
+  void SearchesAreCountedByOutcome() {
+    Age(absl::Seconds(3));
+    Client(FlowPackets(1).Request());
+    Placed(2, FlowPackets(1));
+    Client(FlowPackets(2).Request());
+    for (uint64_t uid = 1; uid <= 3; ++uid) {
+      Return(uid, FlowPackets(2).Request(), ReturnReason::kNotHeld,
+             ForwardMode::kSearch);
+    }
+    Client(FlowPackets(3).Request());
+    entry_.ExpireIdle(now_ + absl::Seconds(4));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, entry_.search_counts().found);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, entry_.search_counts().held_nowhere);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, entry_.search_counts().not_proven);
+  }
+
  private:
   static uint64_t UidAt(Endpoint agent) { return agent.address - 0x0a020000; }
 
