Reset unknown flows only when no further agent is expected

What callers saw: an open flow was reset although its target was sound. An entry that had just started, or had been cut off, sent the reset with the client's own acknowledgement, so that the client honoured it. Cause: an entry took the agents that it knew for all of them, two seconds after its start. Agents of a fleet of 91 entries report every 1.3 s, and an agent that restarts together with the entry may take until its expiry timeout to be known again. After a partition the first agents that came back counted as all. Why it works: the entry waits for the time after which an agent counts as gone, 6 s or twice the time after which an agent of the service is suspect, and for one such suspect time after the last agent appeared. An agent that is alive has reported by then. Until then packets of unknown flows are dropped, which costs their clients time and breaks nothing.

--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -96,8 +96,12 @@
   /// InfinitePast if there was none. An agent that restarted is not added
   /// again.
   absl::Time last_appeared(ServiceUid service) const;
+  /// Returns the time after which an agent of the service without a message is
+  /// removed; the longest one of its agents.
+  absl::Duration ExpiryTimeout(ServiceUid service) const;
 
-  /// Whether every agent of the service is responsive or down. Only then do the
+  /// Whether every agent of the service is responsive or down, and none has
+  /// appeared for so long that further ones are not expected. Only then do the
   /// answers of all agents prove that no agent holds a flow.
   bool IsComplete(ServiceUid service, absl::Time now) const;
 
--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -78,6 +78,10 @@
   return mixed ^ (mixed >> 31);
 }
 
+absl::Duration ExpiryTimeoutOf(const AgentView& agent) {
+  return std::max(kAgentExpiryTimeout, 2 * agent.suspect_timeout);
+}
+
 uint32_t Unreported(const AgentView& agent, absl::Time now) {
   return now - agent.last_sent < kUnreportedLifetime ? agent.unreported : 0;
 }
@@ -210,8 +214,8 @@
     view->load = load;
     view->last_seen = now;
     of_service_[agent.service].push_back(view.get());
-    last_appeared_[agent.service] = now;
     agents_[agent.uid] = std::move(view);
+    last_appeared_[agent.service] = now;
     return AgentChange::kAppeared;
   }
   if (agent.incarnation < known->identity.incarnation)
@@ -261,8 +265,7 @@
   for (auto& [service, agents] : of_service_) {
     const auto unresponsive = std::stable_partition(
         agents.begin(), agents.end(), [now](const AgentView* agent) {
-          return now - agent->last_seen <
-                 std::max(kAgentExpiryTimeout, 2 * agent->suspect_timeout);
+          return now - agent->last_seen < ExpiryTimeoutOf(*agent);
         });
     for (auto agent = unresponsive; agent != agents.end(); ++agent)
       removed.push_back(**agent);
@@ -293,10 +296,20 @@
 }
 
 bool AgentDirectory::IsComplete(ServiceUid service, absl::Time now) const {
+  const absl::Duration since_appeared = now - last_appeared(service);
   const absl::Span<AgentView* const> agents = AgentsOfService(service);
-  return std::all_of(agents.begin(), agents.end(), [now](const AgentView* a) {
-    return a->load.state == InstanceState::kDown || IsResponsive(*a, now);
-  });
+  return std::all_of(
+      agents.begin(), agents.end(), [since_appeared, now](const AgentView* a) {
+        return since_appeared >= a->suspect_timeout &&
+               (a->load.state == InstanceState::kDown || IsResponsive(*a, now));
+      });
+}
+
+absl::Duration AgentDirectory::ExpiryTimeout(ServiceUid service) const {
+  absl::Duration longest = kAgentExpiryTimeout;
+  for (const AgentView* agent : AgentsOfService(service))
+    longest = std::max(longest, ExpiryTimeoutOf(*agent));
+  return longest;
 }
 
 void AppendCandidates(absl::Span<AgentView* const> agents,
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -23,8 +23,8 @@
 /// Minimum time for which a flow is cached after its last packet, even if the
 /// configuration sets a shorter one.
 constexpr absl::Duration kMinIdleTime = absl::Seconds(2);
-/// Time after its start in which an entry may not know all agents. It resets no
-/// flow as held by nobody in this time.
+/// Time after its start in which an entry without agents of a service defers
+/// opening packets.
 constexpr absl::Duration kSettleTime = absl::Seconds(2);
 /// Time since an agent's last message after which a retransmitted opening
 /// packet goes to another agent, as a share of `suspect_timeout`. It is below 1
@@ -437,11 +437,13 @@
 bool EntryForwarder::IsHeldNowhere(const Search& search,
                                    const Route& route,
                                    absl::Time now) const {
-  if (now - started_ < kSettleTime)
-    return false;
   for (const RouteShare& share : route.shares) {
-    if (!agents_.IsComplete(share.service, now))
+    // An agent that restarts together with this entry may be missing until its
+    // expiry timeout.
+    if (now - started_ < agents_.ExpiryTimeout(share.service) ||
+        !agents_.IsComplete(share.service, now)) {
       return false;
+    }
     for (const AgentView* agent : agents_.AgentsOfService(share.service)) {
       if (agent->load.state != InstanceState::kDown &&
           !search.queried.contains(agent->identity.uid))
