Do not reset a flow whose route this entry may not have yet

What callers saw: an open flow was reset with the client's own acknowledgement while its target served. Cause: entries adopt a configuration at different times. After a change of the rotation the packets of a flow reach an entry that has not adopted the route of the flow yet. It took the route for dropped and reset the flow. Evidence: FlowOfANewerRouteIsNotReset failed before (resets: expected 0, actual 1). Why it works: an entry resets the flows of addresses whose route one of its own configurations dropped. Without that proof it drops the packet, unless it is a first opening packet that nobody else can have received. A started entry no longer resets the flows of a route that was dropped before its start; their clients time out.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -188,8 +188,13 @@
                      const PacketHeader& header,
                      absl::Time now,
                      EntryActions& actions);
+  /// Resets the flow of a packet without a route, unless another entry may have
+  /// opened it.
+  void RefuseWithoutRoute(const PacketHeader& header,
+                          absl::Time now,
+                          EntryActions& actions);
   void Refuse(const FlowId& flow,
-              const PacketHeader& header,
+              uint32_t sequence,
               absl::string_view reason,
               absl::Time now,
               EntryActions& actions) const;
@@ -234,6 +239,8 @@
   OpeningCopies copies_;
   absl::Duration socket_delay_;
   SearchCounts search_counts_;
+  /// Addresses without a route that had one in an earlier configuration.
+  absl::flat_hash_set<Endpoint> dropped_routes_;
   /// Timed-out packets that Tick() sent to another agent. Actions point to
   /// their bytes.
   std::vector<UnansweredOpenings::Opening> timed_out_;
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -26,6 +26,8 @@
 /// Time after its start in which an entry without agents of a service defers
 /// opening packets.
 constexpr absl::Duration kSettleTime = absl::Seconds(2);
+/// Maximum number of recorded addresses whose route a configuration dropped.
+constexpr size_t kMaxDroppedRoutes = 16'384;
 /// Time since an agent's last message after which a retransmitted opening
 /// packet goes to another agent, as a share of `suspect_timeout`. It is below 1
 /// because the retransmission itself is evidence that the agent is
@@ -49,8 +51,18 @@
     : data_centre_(data_centre), started_(started) {}
 
 void EntryForwarder::SetRoutes(std::shared_ptr<const RouteTable> routes) {
-  if (routes_ == nullptr || routes->version >= routes_->version)
-    routes_ = std::move(routes);
+  if (routes_ != nullptr && routes->version < routes_->version)
+    return;
+  if (routes_ != nullptr) {
+    for (const auto& [address, route] : routes_->routes) {
+      if (dropped_routes_.size() < kMaxDroppedRoutes)
+        dropped_routes_.insert(address);
+    }
+  }
+  absl::erase_if(dropped_routes_, [&routes](const Endpoint& address) {
+    return routes->Find(address) != nullptr;
+  });
+  routes_ = std::move(routes);
 }
 
 void EntryForwarder::OnClientPacket(const PacketHeader& header,
@@ -66,8 +78,7 @@
   }
   const Route* route = routes_->Find(header.destination);
   if (route == nullptr) {
-    flows_.erase(flow);
-    Refuse(flow, header, "no_route", now, actions);
+    RefuseWithoutRoute(header, now, actions);
     return;
   }
   if (header.opening) {
@@ -247,9 +258,7 @@
   if (!placement.has_value() || message.declined.empty()) {
     if (DeferRefusal(flow, now, actions))
       return true;
-    PacketHeader header;
-    header.opening = true;
-    Refuse(flow, header, "no_agent", now, actions);
+    Refuse(flow, 0, "no_agent", now, actions);
     return false;
   }
   Decision decision =
@@ -339,7 +348,8 @@
   const Route* route =
       routes_ == nullptr ? nullptr : routes_->Find(header.destination);
   if (route == nullptr) {
-    Refuse(flow, header, "no_route", now, actions);
+    if (routes_ != nullptr)
+      RefuseWithoutRoute(header, now, actions);
     return;
   }
   if (!header.opening) {
@@ -481,16 +491,32 @@
   }
 }
 
+void EntryForwarder::RefuseWithoutRoute(const PacketHeader& header,
+                                        absl::Time now,
+                                        EntryActions& actions) {
+  const FlowId flow = header.flow_from_client();
+  // Another entry may have adopted a configuration with this route and opened
+  // the flow.
+  const bool may_be_open =
+      !dropped_routes_.contains(header.destination) &&
+      (!header.opening || copies_.MayHaveMissedOne(flow, now));
+  if (may_be_open) {
+    RecordDeferred(flow, "no_route", now, actions);
+    return;
+  }
+  flows_.erase(flow);
+  if (!header.reset)
+    Refuse(flow, header.acknowledged, "no_route", now, actions);
+}
+
 void EntryForwarder::Refuse(const FlowId& flow,
-                            const PacketHeader& header,
+                            uint32_t sequence,
                             absl::string_view reason,
                             absl::Time now,
                             EntryActions& actions) const {
-  if (header.reset)
-    return;
-  actions.resets.push_back({flow, header.acknowledged});
+  actions.resets.push_back({flow, sequence});
   Decision decision = MakeDecision(DecisionKind::kRefused, flow, reason);
-  decision.sequence = header.acknowledged;
+  decision.sequence = sequence;
   decision.evidence = EvidenceOfOpening(flow, now);
   actions.decisions.push_back(decision);
 }
--- a/unittests/forwarding/reset_proof_test.cc
+++ b/unittests/forwarding/reset_proof_test.cc
@@ -127,11 +127,40 @@
 /// A reset needs proof that the flow is open nowhere.
 class ResetProofTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ResetProofTest);
+  CPPUNIT_TEST(FlowOfANewerRouteIsNotReset);
+  CPPUNIT_TEST(FlowOfADroppedRouteIsReset);
   CPPUNIT_TEST(StartedEntryAwaitsAgentsThatRestart);
   CPPUNIT_TEST(EntryAwaitsFurtherAgentsAfterOneAppeared);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Entries adopt a configuration at different times. Guards against the reset
+  // of a flow that was opened under a route that this entry does not have yet.
+  void FlowOfANewerRouteIsNotReset() {
+    TestEntry entry;
+    entry.ReportAll(LoadOf(0));
+    const FlowPackets flow(1, {0xc6120009, 443});
+    entry.Client(flow.Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+    entry.Client(flow.Opening(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+    // Nobody can have opened a flow before its first packet.
+    entry.Client(FlowPackets(2, {0xc6120009, 443}).Opening());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, entry.resets());
+  }
+
+  // Guards against clients that wait for an answer on a route that is gone.
+  void FlowOfADroppedRouteIsReset() {
+    TestEntry entry;
+    entry.ReportAll(LoadOf(0));
+    entry.forwarder().SetRoutes(RoutesOf(2, false));
+    entry.Client(FlowPackets(1).Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, entry.resets());
+    entry.forwarder().SetRoutes(RoutesOf(3, true));
+    entry.Client(FlowPackets(1).Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+  }
+
   // All nodes lose power and an agent, whose target kept running, starts later
   // than the entry. Guards against a reset because the agents that are known so
   // far do not hold the flow.
