Refuse a flow only if no other agent can have opened it

What callers saw: a client whose flow another copy of the opening packet had opened got a reset from the entry of the first copy. Cause: routers send the copies of an opening packet to other entries when one joins or leaves. An entry refused the client when the agent that it had chosen did not take its copy, although another entry may have placed the next copy. The same holds for an opening packet that waited in the socket, for copies when no agent accepts flows, for a forced return of a flow that the entry does not know, and for a target that did not answer in time but may still grant. Evidence: RefusalSparesAFlowThatAnotherEntryOpened, CopyIsNotRefusedWithoutTheFirstOne, OpeningThatWaitedInTheSocketIsNotRefused, CopyWithoutAnAgentIsNotRefused, UncachedForcedReturnIsNotRefused and RefusalAfterAnUnresponsiveTargetIsDeferred failed before (resets: expected 0, actual 1). Why it works: the client sends its copies at known times. An entry that has received every copy that can have been sent, and whose agents have all answered, knows that nobody else can open the flow; the first milliseconds of an attempt always qualify. Otherwise it drops the packet and the next copy decides.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -73,8 +73,7 @@
   RetryHistory& retries() { return retries_; }
 
   /// Longest time for which the packets that are handled next may have waited
-  /// in the socket. Used only for the record of opening packets. Precondition:
-  /// `delay` is not negative.
+  /// in the socket. Precondition: `delay` is not negative.
   void set_socket_delay(absl::Duration delay) { socket_delay_ = delay; }
   /// Copies of opening packets that this entry received.
   const OpeningCopies& opening_copies() const { return copies_; }
@@ -112,9 +111,6 @@
     InstanceUid agent{};
     absl::Time used;
     Attempt attempt;
-    /// Another agent got the opening packet before and did not answer. It may
-    /// have opened the flow.
-    bool unanswered_elsewhere = false;
     /// The agent got a packet other than an opening packet, or answered a
     /// search for the flow.
     bool established = false;
@@ -198,9 +194,9 @@
               absl::string_view reason,
               absl::Time now,
               EntryActions& actions) const;
-  /// Removes the flow and relies on the client's retransmission if another
-  /// agent may have opened the flow; a reset would be untrue then. Returns
-  /// whether it did so.
+  /// Removes the flow and relies on the client's retransmission if an agent may
+  /// have opened the flow; a reset would be untrue then. Returns whether it did
+  /// so.
   bool DeferRefusal(const FlowId& flow, absl::Time now, EntryActions& actions);
   /// Adds the decision to drop an opening packet.
   void RecordDeferred(const FlowId& flow,
--- a/include/skylarkshunt/forwarding/opening_copies.h
+++ b/include/skylarkshunt/forwarding/opening_copies.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/inlined_vector.h"
 #include "absl/time/time.h"
+#include "skylarkshunt/base/ids.h"
 #include "skylarkshunt/packets/packet.h"
 
 namespace skylarkshunt {
@@ -35,10 +37,22 @@
   /// flow is not recorded.
   Copies Find(const FlowId& flow) const;
 
+  /// Records that `agent` got a copy and did not answer in time. Ignored for a
+  /// flow that is not recorded, as are the two following records.
+  void RecordUnanswered(const FlowId& flow, InstanceUid agent);
+  /// Records that `agent` returned a copy that its target did not accept.
+  void RecordDeclined(const FlowId& flow, InstanceUid agent);
+  /// Records that a target got a copy and did not answer in time. It may still
+  /// grant the flow, whatever its agent answers to further copies.
+  void RecordUnansweredByTarget(const FlowId& flow);
+
   /// Whether the client may have sent a copy that was not received, or sends
   /// one before a reset reaches it. Returns true for a flow that is not
   /// recorded.
   bool MayHaveMissedOne(const FlowId& flow, absl::Time now) const;
+  /// Whether an agent or a target that got a copy has not answered and may have
+  /// opened the flow.
+  bool HasUnanswered(const FlowId& flow) const;
 
   /// Removes the records of flows whose attempt has ended. Call it every
   /// second.
@@ -59,6 +73,9 @@
     Copies copies;
     /// By copy: time from the first copy to the next one.
     std::array<absl::Duration, kMaxCopies> next_after{};
+    /// Agents that got a copy and have not answered.
+    absl::InlinedVector<InstanceUid, 2> unanswered;
+    bool unanswered_by_target = false;
     uint32_t sequence = 0;
     absl::Time used;
   };
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -135,6 +135,7 @@
       return;
     }
     message.declined.push_back(cached->second.agent);
+    copies_.RecordUnanswered(flow, cached->second.agent);
   }
   if (agents_.AgentsOfService(message.service).empty() &&
       now - started_ < kSettleTime &&
@@ -142,7 +143,6 @@
     RecordDeferred(flow, "no_agent_yet", now, actions);
     return;
   }
-  const bool unanswered = !message.declined.empty();
   if (!Place(flow, std::move(message), DecisionKind::kPlaced,
              kLeastExpectedTime, now, actions)) {
     RecordRefused(flow, attempt, now, actions);
@@ -153,7 +153,6 @@
   if (placed == flows_.end())
     return;
   placed->second.attempt = attempt;
-  placed->second.unanswered_elsewhere |= unanswered;
 }
 
 bool EntryForwarder::Place(const FlowId& flow,
@@ -220,6 +219,7 @@
   AgentView* agent = agents_.Find(timed_out.agent);
   if (agent != nullptr)
     RecordUnanswered(*agent, timed_out.sent);
+  copies_.RecordUnanswered(timed_out.flow, timed_out.agent);
   const Route* route =
       routes_ == nullptr ? nullptr : routes_->Find(timed_out.flow.service);
   if (route == nullptr || timed_out.message.declined.size() + 1 >= kMaxDeclines)
@@ -236,9 +236,6 @@
     return;
   SendOpening(timed_out.flow, std::move(message), *placement,
               DecisionKind::kPlacedAgain, "agent_silent", now, actions);
-  const auto placed = flows_.find(timed_out.flow);
-  if (placed != flows_.end())
-    placed->second.unanswered_elsewhere = true;
 }
 
 absl::Time EntryForwarder::next_deadline() {
@@ -363,10 +360,15 @@
     SearchFlow(*route, flow, returned.packet, now, actions);
     return;
   }
+  if (returned.reason == ReturnReason::kTargetUnresponsive)
+    copies_.RecordUnansweredByTarget(flow);
+  else
+    copies_.RecordDeclined(flow, returned.agent.uid);
   const auto placed = flows_.find(flow);
-  if (placed != flows_.end() && placed->second.agent != returned.agent.uid) {
-    // Another agent has got the packet, since this one did not answer in time.
-    // A reset would end the flow at that agent.
+  if (placed != flows_.end() && (placed->second.agent != returned.agent.uid ||
+                                 placed->second.established)) {
+    // Another agent has got the packet, since this one did not answer in time,
+    // or another copy has opened the flow. A reset would end the flow.
     RecordDeferred(flow, "placed_elsewhere", now, actions);
     return;
   }
@@ -539,11 +541,12 @@
 bool EntryForwarder::DeferRefusal(const FlowId& flow,
                                   absl::Time now,
                                   EntryActions& actions) {
-  const auto placed = flows_.find(flow);
-  if (placed == flows_.end() || !placed->second.unanswered_elsewhere)
+  const bool unanswered = copies_.HasUnanswered(flow);
+  if (!unanswered && !copies_.MayHaveMissedOne(flow, now))
     return false;
-  flows_.erase(placed);
-  RecordDeferred(flow, "agent_silent", now, actions);
+  flows_.erase(flow);
+  RecordDeferred(flow, unanswered ? "agent_silent" : "copy_elsewhere", now,
+                 actions);
   return true;
 }
 
--- a/lib/forwarding/opening_copies.cc
+++ b/lib/forwarding/opening_copies.cc
@@ -35,6 +35,37 @@
   return found == flows_.end() ? Copies() : found->second.copies;
 }
 
+void OpeningCopies::RecordUnanswered(const FlowId& id, InstanceUid agent) {
+  const auto found = flows_.find(id);
+  if (found == flows_.end())
+    return;
+  auto& unanswered = found->second.unanswered;
+  if (std::find(unanswered.begin(), unanswered.end(), agent) ==
+      unanswered.end())
+    unanswered.push_back(agent);
+}
+
+void OpeningCopies::RecordDeclined(const FlowId& id, InstanceUid agent) {
+  const auto found = flows_.find(id);
+  if (found == flows_.end())
+    return;
+  auto& unanswered = found->second.unanswered;
+  unanswered.erase(std::remove(unanswered.begin(), unanswered.end(), agent),
+                   unanswered.end());
+}
+
+void OpeningCopies::RecordUnansweredByTarget(const FlowId& id) {
+  const auto found = flows_.find(id);
+  if (found != flows_.end())
+    found->second.unanswered_by_target = true;
+}
+
+bool OpeningCopies::HasUnanswered(const FlowId& id) const {
+  const auto found = flows_.find(id);
+  return found != flows_.end() && (!found->second.unanswered.empty() ||
+                                   found->second.unanswered_by_target);
+}
+
 bool OpeningCopies::MayHaveMissedOne(const FlowId& id, absl::Time now) const {
   const auto found = flows_.find(id);
   if (found == flows_.end())
--- a/unittests/forwarding/reset_proof_test.cc
+++ b/unittests/forwarding/reset_proof_test.cc
@@ -127,6 +127,13 @@
 /// A reset needs proof that the flow is open nowhere.
 class ResetProofTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ResetProofTest);
+  CPPUNIT_TEST(RefusalSparesAFlowThatAnotherEntryOpened);
+  CPPUNIT_TEST(CopyIsNotRefusedWithoutTheFirstOne);
+  CPPUNIT_TEST(FlowIsRefusedWhenOneEntryReceivedAllCopies);
+  CPPUNIT_TEST(OpeningThatWaitedInTheSocketIsNotRefused);
+  CPPUNIT_TEST(CopyWithoutAnAgentIsNotRefused);
+  CPPUNIT_TEST(UncachedForcedReturnIsNotRefused);
+  CPPUNIT_TEST(RefusalAfterAnUnresponsiveTargetIsDeferred);
   CPPUNIT_TEST(FlowOfANewerRouteIsNotReset);
   CPPUNIT_TEST(FlowOfADroppedRouteIsReset);
   CPPUNIT_TEST(StartedEntryAwaitsAgentsThatRestart);
@@ -134,6 +141,129 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // An entry leaves the rotation while an opening packet waits at an agent, and
+  // the retransmission goes through another entry to another agent, which opens
+  // the flow. Guards against a reset when the first agent refuses the packet.
+  void RefusalSparesAFlowThatAnotherEntryOpened() {
+    TestEntry first;
+    TestEntry second;
+    const FlowPackets flow;
+    first.ReportAll(LoadOf(0));
+    const uint64_t refusing = first.Client(flow.Opening());
+    first.Placed(refusing, flow);
+    second.ReportAll(LoadOf(0));
+    second.Report(refusing, LoadOf(40));
+    second.Pass(absl::Milliseconds(200));
+    const uint64_t opening = second.Client(flow.Opening(1));
+    CPPUNIT_ASSERT(opening != refusing);
+    second.Placed(opening, flow);
+    CPPUNIT_ASSERT_EQUAL(opening, second.Client(flow.Request()));
+    first.Pass(absl::Milliseconds(600));
+    first.Return(refusing, flow.Opening(), ReturnReason::kNoSlotInTime);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, first.resets());
+    // The flow is found if its packets come back.
+    first.Client(flow.Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, first.resets());
+  }
+
+  // The first copy went through another entry, whose agent may have opened the
+  // flow. Guards against a reset because of the second copy.
+  void CopyIsNotRefusedWithoutTheFirstOne() {
+    for (const ReturnReason reason :
+         {ReturnReason::kNoSlotInTime, ReturnReason::kQueueFull}) {
+      TestEntry entry;
+      const FlowPackets flow;
+      entry.ReportAll(LoadOf(0));
+      const uint64_t agent = entry.Client(flow.Opening(1));
+      entry.Pass(absl::Milliseconds(5));
+      entry.Return(agent, flow.Opening(1), reason);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+    }
+  }
+
+  // Guards against clients that wait in vain although nobody else can have got
+  // their packets.
+  void FlowIsRefusedWhenOneEntryReceivedAllCopies() {
+    TestEntry entry;
+    const FlowPackets at_once(1);
+    entry.ReportAll(LoadOf(0));
+    uint64_t agent = entry.Client(at_once.Opening());
+    entry.Pass(absl::Milliseconds(10));
+    entry.Return(agent, at_once.Opening(), ReturnReason::kNoSlotInTime);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, entry.resets());
+
+    const FlowPackets later(2);
+    agent = entry.Client(later.Opening());
+    entry.Placed(agent, later);
+    for (const int copy : {1, 2}) {
+      entry.Pass(absl::Milliseconds(copy == 1 ? 200 : 400));
+      entry.ReportAll(LoadOf(0));
+      CPPUNIT_ASSERT_EQUAL(agent, entry.Client(later.Opening(copy)));
+      entry.Placed(agent, later);
+    }
+    entry.Pass(absl::Milliseconds(300));
+    entry.Return(agent, later.Opening(), ReturnReason::kNoSlotInTime);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, entry.resets());
+  }
+
+  // An entry with a small processor share reads an opening packet after its
+  // client has sent the next copy, which another entry may have got. Guards
+  // against an entry that takes an old packet for a new one.
+  void OpeningThatWaitedInTheSocketIsNotRefused() {
+    TestEntry entry;
+    const FlowPackets flow;
+    entry.ReportAll(LoadOf(0));
+    entry.forwarder().set_socket_delay(absl::Milliseconds(250));
+    const uint64_t agent = entry.Client(flow.Opening());
+    entry.Pass(absl::Milliseconds(2));
+    entry.Return(agent, flow.Opening(), ReturnReason::kNoSlotInTime);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+  }
+
+  // All agents drain, and one of them may hold the flow that an earlier copy
+  // opened through another entry. Guards against the reset of that flow.
+  void CopyWithoutAnAgentIsNotRefused() {
+    TestEntry entry;
+    entry.ReportAll(LoadOf(0, InstanceState::kDraining));
+    entry.Client(FlowPackets(1).Opening(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+    entry.Client(FlowPackets(2).Opening());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, entry.resets());
+  }
+
+  // The entry does not know the flow that an agent returns, since it started
+  // again. Guards against the reset of a flow that another entry placed
+  // meanwhile.
+  void UncachedForcedReturnIsNotRefused() {
+    TestEntry entry;
+    entry.ReportAll(LoadOf(0));
+    entry.Return(1, FlowPackets().Opening(), ReturnReason::kTargetRefused,
+                 ForwardMode::kOpening, kMaxDeclines);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+  }
+
+  // A target that does not answer an opening packet in time may still grant the
+  // flow. Guards against a reset because of the next agent's refusal.
+  void RefusalAfterAnUnresponsiveTargetIsDeferred() {
+    TestEntry entry;
+    const FlowPackets flow;
+    entry.ReportAll(LoadOf(0));
+    const uint64_t slow = entry.Client(flow.Opening());
+    entry.Placed(slow, flow);
+    entry.Pass(absl::Milliseconds(80));
+    const uint64_t other =
+        entry.Return(slow, flow.Opening(), ReturnReason::kTargetUnresponsive);
+    CPPUNIT_ASSERT(other != 0 && other != slow);
+    entry.Return(other, flow.Opening(), ReturnReason::kNoSlotInTime);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+    // The next copy does not change what the first target may have done.
+    entry.Pass(absl::Milliseconds(120));
+    entry.ReportAll(LoadOf(0));
+    const uint64_t next = entry.Client(flow.Opening(1));
+    entry.Return(next, flow.Opening(1), ReturnReason::kNoSlotInTime);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+  }
+
   // Entries adopt a configuration at different times. Guards against the reset
   // of a flow that was opened under a route that this entry does not have yet.
   void FlowOfANewerRouteIsNotReset() {
