Flush the log lines of a node

Lines went to standard output through the buffer of the C library, which is written in blocks unless the output is a terminal. A node that was killed lost up to a block of its last lines, and a node that ended gracefully lost them too, because it calls _exit(): an entry that ran for some seconds with its output in a file or a pipe left no line at all.

--- a/lib/base/log_writer.cc
+++ b/lib/base/log_writer.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cassert>
+#include <cstdio>
 #include <map>
 #include <thread>
 #include <utility>
@@ -109,6 +110,9 @@
                               kLinesLeftOut.name, " event=SKS", event,
                               " count=", count, " reason=slow_reader"));
     }
+    // Standard output is buffered in blocks unless it is a terminal. A process
+    // that is killed loses what is in the buffer.
+    std::fflush(stdout);
   }
 
   BoundedRing<QueuedLine> lines_{kMaxQueuedLines};
--- a/unittests/base/log_writer_test.cc
+++ b/unittests/base/log_writer_test.cc
@@ -3,8 +3,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fcntl.h>
 #include <glog/logging.h>
+#include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <thread>
@@ -43,6 +45,17 @@
       text.append(buffer.data(), static_cast<size_t>(size));
     return text;
   }
+  /// Reads what is in the pipe. Waits up to `limit` for the first byte, and
+  /// returns nothing if none arrives.
+  std::string ReadOnce(absl::Duration limit) {
+    pollfd readable{ends_[0], POLLIN, 0};
+    std::array<char, 4096> buffer{};
+    if (poll(&readable, 1,
+             static_cast<int>(absl::ToInt64Milliseconds(limit))) <= 0)
+      return "";
+    const ssize_t size = read(ends_[0], buffer.data(), buffer.size());
+    return {buffer.data(), static_cast<size_t>(std::max<ssize_t>(0, size))};
+  }
   void Restore() {
     if (saved_ < 0)
       return;
@@ -63,6 +76,7 @@
   CPPUNIT_TEST(EndsSoonWithoutLines);
   CPPUNIT_TEST(EndDoesNotWaitForAStoppedReader);
   CPPUNIT_TEST(LinesCarryTheTimeOfTheirEvent);
+  CPPUNIT_TEST(LinesAreWrittenBeforeTheProcessEnds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -140,6 +154,23 @@
     CPPUNIT_ASSERT(text.find(" info SKS1099 test_line text=timed") !=
                    std::string::npos);
   }
+
+  // Guards against lines that stay in the buffer of standard output, and are
+  // lost when the process is killed or calls _exit().
+  void LinesAreWrittenBeforeTheProcessEnds() {
+    PipedOutput output;
+    auto writer = LogWriter::Start();
+    LogLine(kTestEvent).Field("text", "first");
+    const std::string while_running = output.ReadOnce(absl::Seconds(10));
+    LogLine(kTestEvent).Field("text", "last");
+    const bool finished = writer->Finish(absl::Seconds(10));
+    const std::string at_end = output.ReadOnce(absl::ZeroDuration());
+    writer.reset();
+    output.Restore();
+    CPPUNIT_ASSERT(while_running.find("text=first") != std::string::npos);
+    CPPUNIT_ASSERT(finished);
+    CPPUNIT_ASSERT(at_end.find("text=last") != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogWriterTest);
