Keep flows open while an agent does not know its target yet

What callers saw: a client with an open flow was reset shortly after the agent beside its target had restarted (kill, or SIGTERM and start), although the target ran all the while.

Cause: until the target's next report or a health check, a new agent reported `down`, answered "not held" for every flow, and entries did not query it. Entries take both as proof. What the agent did not know yet counted as absent.

Fix: a target without report and health check is unknown. Packets of flows that it does not know go to the target, and a packet that the target returns is the proof. `down` now means that the target said that it leaves, that its address refused a connection, or that neither a report nor a packet of it came for three report intervals since the agent's start. A machine without target is therefore reported `down` as soon as the first health check is refused, or after three intervals.

The health check at the first configuration depends on whether the target is known, no longer on `down`.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -102,7 +102,7 @@
   void BeginShutdown();
   /// Whether no request is running or waiting for a slot.
   bool is_idle() const;
-  /// Whether the target has ended or is unknown.
+  /// Whether the target has ended or is absent.
   bool is_target_gone(absl::Time now) const;
 
   AgentLoad load(absl::Time now) const;
--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -24,9 +24,9 @@
 /// thread-safe.
 class TargetState {
  public:
-  /// `service` is the name of the service in the agent's settings, and
-  /// `interval` is the time between two reports.
-  TargetState(std::string service, absl::Duration interval);
+  /// `service` is the name of the service in the agent's settings, `interval`
+  /// is the time between two reports, and `started` is the start of the agent.
+  TargetState(std::string service, absl::Duration interval, absl::Time started);
 
   TargetChange OnReport(const TargetReport& report, absl::Time now);
   /// Records that the target has reported its end. Ignores the message and
@@ -34,9 +34,10 @@
   bool OnLeave(absl::string_view id);
   /// Records a successful health check. Ignored once a report has arrived.
   void OnHealthy(uint32_t slots);
-  /// Records that the target did not answer an opening packet in time, or that
-  /// its process has ended.
+  /// Records that the target did not answer an opening packet in time.
   void OnUnresponsive();
+  /// Records that the target's address refused a connection.
+  void OnConnectionRefused();
   /// Records that the target returned an opening packet. Returns whether the
   /// target now counts as unresponsive: the address of a crashed target returns
   /// every packet at once, and the target would otherwise look like the least
@@ -44,10 +45,15 @@
   bool OnRefused();
   /// Records that the target answered a packet or a health check.
   void OnResponse();
+  /// Records that the target sent a packet.
+  void OnPacket(absl::Time now);
 
-  /// Returns kServing, kEjected (unresponsive), kDraining or kDown (unknown or
-  /// ended).
+  /// Returns kServing, kEjected (unresponsive or not known yet), kDraining or
+  /// kDown (absent or ended). kDown is proof that no flow is open at the
+  /// target.
   InstanceState state(absl::Time now) const;
+  /// Whether a report or a health check has shown that the target runs.
+  bool is_known() const { return known_; }
   uint32_t slots() const { return slots_; }
   const std::string& id() const { return id_; }
   /// Whether the agent has seen this incarnation since its first report, and
@@ -57,6 +63,9 @@
  private:
   const std::string service_;
   const absl::Duration interval_;
+  /// Start of the agent, or time of the target's last packet. A target without
+  /// report or health check may be present for some time after it.
+  absl::Time unconfirmed_since_;
   std::string id_;
   int64_t started_unix_ms_ = 0;
   uint64_t sequence_ = 0;
@@ -66,6 +75,7 @@
   bool reported_ = false;
   bool draining_ = false;
   bool left_ = false;
+  bool connection_refused_ = false;
   bool unresponsive_ = false;
   /// Opening packets returned since the target last answered.
   int refusals_ = 0;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -42,7 +42,7 @@
 
 AgentForwarder::AgentForwarder(Options options, absl::Time now)
     : options_(std::move(options)),
-      target_(options_.service, options_.report_interval),
+      target_(options_.service, options_.report_interval, now),
       deliveries_(kMaxDeliveries),
       overload_(now),
       next_sweep_(now + kSweepInterval) {}
@@ -246,7 +246,7 @@
     OnReturnedByTarget(header, packet, now, actions);
     return;
   }
-  target_.OnResponse();
+  target_.OnPacket(now);
   const FlowId id = header.flow_to_client();
   AgentFlows::Flow* flow = flows_.Find(id);
   if (flow != nullptr) {
@@ -381,7 +381,7 @@
 }
 
 void AgentForwarder::OnTargetCrashed(AgentActions& actions) {
-  target_.OnUnresponsive();
+  target_.OnConnectionRefused();
   ResetFlows("target_crashed", actions);
 }
 
--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -17,8 +17,12 @@
 
 }  // namespace
 
-TargetState::TargetState(std::string service, absl::Duration interval)
-    : service_(std::move(service)), interval_(interval) {}
+TargetState::TargetState(std::string service,
+                         absl::Duration interval,
+                         absl::Time started)
+    : service_(std::move(service)),
+      interval_(interval),
+      unconfirmed_since_(started) {}
 
 TargetChange TargetState::OnReport(const TargetReport& report, absl::Time now) {
   if (report.service != service_)
@@ -73,6 +77,11 @@
   unresponsive_ = true;
 }
 
+void TargetState::OnConnectionRefused() {
+  connection_refused_ = true;
+  unresponsive_ = true;
+}
+
 bool TargetState::OnRefused() {
   ++refusals_;
   if (refusals_ >= kRefusalsUntilUnresponsive)
@@ -82,12 +91,24 @@
 
 void TargetState::OnResponse() {
   unresponsive_ = false;
+  connection_refused_ = false;
   refusals_ = 0;
 }
 
+void TargetState::OnPacket(absl::Time now) {
+  unconfirmed_since_ = now;
+  OnResponse();
+}
+
 InstanceState TargetState::state(absl::Time now) const {
-  if (!known_ || left_)
+  if (left_)
     return InstanceState::kDown;
+  if (!known_) {
+    // The target may have opened flows through an earlier process of the agent.
+    const bool absent = connection_refused_ ||
+                        now - unconfirmed_since_ > kMissedReports * interval_;
+    return absent ? InstanceState::kDown : InstanceState::kEjected;
+  }
   if (draining_)
     return InstanceState::kDraining;
   if (unresponsive_ ||
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -70,7 +70,7 @@
       // A target that kept running while its agent was down reports only after
       // up to a whole interval. Its health check shows at once that it accepts
       // flows.
-      if (first && loop.forwarder_.is_target_gone(now))
+      if (first && !loop.forwarder_.target().is_known())
         loop.options_.notices.on_target_check_needed();
       // Entries that start at the same time fetch the configuration from this
       // agent.
--- a/unittests/forwarding/target_state_test.cc
+++ b/unittests/forwarding/target_state_test.cc
@@ -86,7 +86,7 @@
   }
 
  private:
-  TargetState target_{"dispatch", kInterval};
+  TargetState target_{"dispatch", kInterval, kStart};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetStateTest);
