Query agents without target before a flow is reset

What callers saw: a client whose packets moved to another entry was reset, although its flow was open at a target that had started shortly before.

Cause: an entry skipped agents that it had last seen without target and counted them as proof. A target can start beside such an agent and open flows through another entry before the agent's next report arrives here, or while that report is lost.

Evidence, on the commit before: agent_restart_test.cc:113 FlowIsFoundAtAnAgentLastSeenWithoutTarget resets: expected 0, actual 1

Fix: a search queries these agents too, and waits for their answer while they are responsive. An agent without target answers at once, so the price is one message and one answer for each. An agent that ended without target is sent the packet but not waited for; AgentThatEndedWithoutTargetDelaysNoReset passes before and after.

What remains: a target that starts beside an agent whose messages do not reach the entry for three report intervals.

--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -313,12 +313,14 @@
       AppendCandidates(agents, StableFlowHash(flow), data_centre_,
                        kSearchedPerSide, queried_);
     for (const AgentView* agent : queried_) {
-      if (agent->load.state == InstanceState::kDown)
-        continue;
+      // A target may have started beside an agent since its last message, so
+      // agents without target are queried too.
       actions.to_agents.push_back({agent->endpoint, message});
       // The search does not wait for an unresponsive candidate before it
-      // queries all agents.
-      const bool expected = search.all_queried || IsResponsive(*agent, now);
+      // queries all agents, nor for an agent that ended without target.
+      const bool may_hold =
+          search.all_queried && agent->load.state != InstanceState::kDown;
+      const bool expected = may_hold || IsResponsive(*agent, now);
       if (search.queried.insert(agent->identity.uid).second && expected)
         search.awaited.insert(agent->identity.uid);
     }
@@ -419,8 +421,7 @@
     if (!agents_.IsComplete(share.service, now))
       return false;
     for (const AgentView* agent : agents_.AgentsOfService(share.service)) {
-      if (agent->load.state != InstanceState::kDown &&
-          !search.queried.contains(agent->identity.uid))
+      if (!search.queried.contains(agent->identity.uid))
         return false;
     }
   }
--- a/unittests/flow_proof/agent_restart_test.cc
+++ b/unittests/flow_proof/agent_restart_test.cc
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(TargetOfANewAgentIsUnknownUntilItMissesReports);
   CPPUNIT_TEST(TargetThatRefusesConnectionsIsAbsent);
   CPPUNIT_TEST(PacketOfTheTargetProvesThatItIsPresent);
+  CPPUNIT_TEST(FlowIsFoundAtAnAgentLastSeenWithoutTarget);
+  CPPUNIT_TEST(AgentThatEndedWithoutTargetDelaysNoReset);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -89,6 +91,43 @@
     CPPUNIT_ASSERT(actions.to_entries.empty());
   }
 
+  // A target appears beside an agent, and a flow opens there before the next
+  // report of the agent reaches entry 1. Guards against a reset by that entry,
+  // which last saw the agent without target.
+  void FlowIsFoundAtAnAgentLastSeenWithoutTarget() {
+    SimulatedSite site(2, 2);
+    site.ReportTarget(0, MakeReport(1));
+    site.Pass(absl::Seconds(10));
+    site.ReportTarget(0, MakeReport(2));
+    site.ReportAgents();
+    site.ReportTarget(1, MakeReport(1));
+    site.ReportAgent(1, 0);
+    TargetReport draining = MakeReport(3);
+    draining.draining = true;
+    site.ReportTarget(0, draining);
+    site.ReportAgent(0, 0);
+    site.Send(0, flow_.Opening());
+    site.Send(0, flow_.Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, site.received(1));
+    site.Send(1, flow_.Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, site.resets());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, site.received(1));
+  }
+
+  // Guards against clients of a lost flow that wait until an agent without
+  // target, which has ended, is removed from the entry's directory.
+  void AgentThatEndedWithoutTargetDelaysNoReset() {
+    SimulatedSite site(1, 2);
+    site.Pass(absl::Seconds(10));
+    site.ReportAgent(1, 0);
+    site.Pass(absl::Seconds(4));
+    site.EndAgent(1);
+    site.ReportTarget(0, MakeReport(1));
+    site.ReportAgent(0, 0);
+    site.Send(0, flow_.Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, site.resets());
+  }
+
  private:
   /// Sends reports of all targets and agents.
   void Beat(uint64_t sequence) {
--- a/unittests/flow_proof/simulated_site.cc
+++ b/unittests/flow_proof/simulated_site.cc
@@ -41,6 +41,8 @@
 void SimulatedSite::Pass(absl::Duration time) {
   now_ += time;
   for (size_t i = 0; i < agents_.size(); ++i) {
+    if (agents_[i].forwarder == nullptr)
+      continue;
     AgentActions actions;
     agents_[i].forwarder->Tick(now_, actions);
     Execute(i, actions);
@@ -96,6 +98,8 @@
   resets_ += actions.resets.size();
   for (const EntryActions::ToAgent& action : actions.to_agents) {
     const size_t agent = action.agent.address - kAgentAddress;
+    if (agents_[agent].forwarder == nullptr)
+      continue;
     const Endpoint sender{kEntryAddress + static_cast<uint32_t>(entry),
                           kPeerPort};
     AgentActions follow;
--- a/unittests/flow_proof/simulated_site.h
+++ b/unittests/flow_proof/simulated_site.h
@@ -32,6 +32,8 @@
   /// Replaces the agent by a new process without state. Its target keeps
   /// running.
   void RestartAgent(size_t agent);
+  /// Ends the agent. It receives and sends nothing more.
+  void EndAgent(size_t agent) { agents_[agent].forwarder = nullptr; }
 
   AgentForwarder& agent(size_t agent) { return *agents_[agent].forwarder; }
   /// Packets of open flows that the target received since its start.
