Keep flows of a new incarnation when its first report arrives

What callers saw: a target crashed and came back quickly, a client opened a flow at it, and the agent reset that flow when the first report of the new incarnation arrived. Opening packets on their way to the new incarnation were dropped from the list of unanswered ones.

Cause: `target_started_again` reset every confirmed flow. Reports arrive up to an interval after the start, and packets do not wait for them.

Fix: only flows that have neither been opened nor got a packet of the target since the earliest possible start of the new incarnation are reset and removed. The previous incarnation was alive at its last report, so the new one started later. Where the report carries its start, it started at most a clock step of 4 s before that; the later of the two bounds holds.

The price: a flow of the old incarnation that got a packet after both bounds is not reset by the report. It is reset when the target returns the next packet of its client, at the latest with the retransmission of an unanswered request.

FlowsOfAnEarlierIncarnationAreReset sent the flow's packets, the end of the old incarnation and the first report of the new one at the same instant, where nothing tells to which incarnation the flow belongs. The old incarnation now reports once after the packets; the checks are unchanged.

--- a/include/skylarkshunt/forwarding/agent_flows.h
+++ b/include/skylarkshunt/forwarding/agent_flows.h
@@ -1,7 +1,9 @@
 #ifndef SKYLARKSHUNT_FORWARDING_AGENT_FLOWS_H_
 #define SKYLARKSHUNT_FORWARDING_AGENT_FLOWS_H_
 
+#include <algorithm>
 #include <cstdint>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -50,6 +52,8 @@
     uint32_t answer_end = 0;
     uint32_t busy_before = 0;
     absl::Time opened;
+    /// Last packet of the target.
+    absl::Time answered;
     absl::Time requested;
     absl::Time used;
   };
@@ -85,7 +89,20 @@
   /// client has not sent it.
   void StopAwaitingRequest(const FlowId& id);
   void Erase(const FlowId& id);
-  void Clear();
+  /// Removes the flows that have neither been opened nor got a packet from the
+  /// target since `since`. Calls `removed` with the id and state of each.
+  template <typename Visitor>
+  void EraseOlder(absl::Time since, const Visitor& removed) {
+    std::vector<FlowId> older;
+    for (const auto& [id, flow] : flows_) {
+      if (std::max(flow.opened, flow.answered) >= since)
+        continue;
+      removed(id, flow);
+      older.push_back(id);
+    }
+    for (const FlowId& id : older)
+      Erase(id);
+  }
   /// Resets the service time and the outcomes of a target that restarted.
   void ResetTargetModels();
   /// Removes expired flows and counts requests that timed out. Call it a few
@@ -110,13 +127,6 @@
     return outcomes_.failing_permille(now);
   }
 
-  /// Calls `visit` with the id and state of each flow.
-  template <typename Visitor>
-  void ForEach(const Visitor& visit) const {
-    for (const auto& [id, flow] : flows_)
-      visit(id, flow);
-  }
-
  private:
   void SetBusy(Flow& flow, bool busy);
   void SetEnded(Flow& flow);
--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -179,7 +179,11 @@
   uint32_t Deliver(Delivery delivery,
                    absl::Span<const uint8_t> packet,
                    AgentActions& actions);
-  void ResetFlows(absl::string_view reason, AgentActions& actions);
+  /// Resets and removes the flows that an earlier incarnation of the target
+  /// held: those without a packet of the target since `since`.
+  void ResetFlows(absl::Time since,
+                  absl::string_view reason,
+                  AgentActions& actions);
   Decision MakeDecision(DecisionKind kind,
                         const FlowId& flow,
                         absl::string_view reason) const;
--- a/include/skylarkshunt/forwarding/target_report.h
+++ b/include/skylarkshunt/forwarding/target_report.h
@@ -16,6 +16,9 @@
   /// Start of this incarnation of the target in milliseconds since the Unix
   /// epoch; 0 if the target does not report it.
   int64_t started_unix_ms = 0;
+  /// The same start on the clock of MonotonicNow(), or the infinite past if it
+  /// is unknown. A step of the wall clock since the start shifts it.
+  absl::Time started = absl::InfinitePast();
   /// Grows with each report of one incarnation.
   uint64_t sequence = 0;
   uint32_t slots = 0;
--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -56,6 +56,10 @@
   bool is_known() const { return known_; }
   uint32_t slots() const { return slots_; }
   const std::string& id() const { return id_; }
+  /// Earliest possible start of the incarnation that the last report made known
+  /// as a restart. Packets that the target sent before belong to an earlier
+  /// one.
+  absl::Time restarted_after() const { return restarted_after_; }
   /// Whether the agent has seen this incarnation since its first report, and
   /// therefore knows all its flows.
   bool seen_from_start() const { return seen_from_start_; }
@@ -71,6 +75,7 @@
   uint64_t sequence_ = 0;
   uint32_t slots_ = 0;
   absl::Time last_seen_ = absl::InfinitePast();
+  absl::Time restarted_after_ = absl::InfinitePast();
   bool known_ = false;
   bool reported_ = false;
   bool draining_ = false;
--- a/lib/forwarding/agent_flows.cc
+++ b/lib/forwarding/agent_flows.cc
@@ -67,6 +67,7 @@
                        absl::Time now) {
   Flow& flow = flows_[id];
   flow.used = now;
+  flow.answered = now;
   ++open_;
   if (header.opening) {
     RecordGrant(flow, header, now);
@@ -80,6 +81,7 @@
                              const PacketHeader& header,
                              absl::Time now) {
   flow.used = now;
+  flow.answered = now;
   flow.target_sequence = header.sequence;
   flow.target_sequence_known = true;
 }
@@ -133,6 +135,7 @@
     uint32_t slots,
     absl::Time now) {
   flow.used = now;
+  flow.answered = now;
   flow.confirmed = true;
   // The packets of an answer arrive in any order, often the last one first.
   const bool answers = header.payload_bytes > 0 || header.ending;
@@ -187,12 +190,6 @@
     SetBusy(*flow, false);
 }
 
-void AgentFlows::Clear() {
-  flows_.clear();
-  busy_ = 0;
-  open_ = 0;
-}
-
 void AgentFlows::ResetTargetModels() {
   service_time_.Reset();
   outcomes_.Reset();
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -364,7 +364,7 @@
   served_.clear();
   const TargetChange change = target_.OnReport(report, now);
   if (change == TargetChange::kRestarted) {
-    ResetFlows("target_started_again", actions);
+    ResetFlows(target_.restarted_after(), "target_started_again", actions);
     flows_.ResetTargetModels();
   }
   ServeQueue(now, actions);
@@ -382,21 +382,31 @@
 
 void AgentForwarder::OnTargetCrashed(AgentActions& actions) {
   target_.OnConnectionRefused();
-  ResetFlows("target_crashed", actions);
+  ResetFlows(absl::InfiniteFuture(), "target_crashed", actions);
 }
 
-void AgentForwarder::ResetFlows(absl::string_view reason,
+void AgentForwarder::ResetFlows(absl::Time since,
+                                absl::string_view reason,
                                 AgentActions& actions) {
-  flows_.ForEach([&](const FlowId& id, const AgentFlows::Flow& flow) {
+  const auto reset = [&](const FlowId& id, const AgentFlows::Flow& flow) {
     if (flow.phase != AgentFlows::Phase::kOpen || !flow.confirmed)
       return;
     actions.resets.push_back({id, flow.client_expects});
     actions.decisions.push_back(
         MakeDecision(DecisionKind::kFlowReset, id, reason));
-  });
-  flows_.Clear();
-  unanswered_.clear();
-  granted_.clear();
+  };
+  flows_.EraseOlder(since, reset);
+  const auto is_removed = [this](const FlowId& id) {
+    return !flows_.Contains(id);
+  };
+  unanswered_.erase(
+      std::remove_if(unanswered_.begin(), unanswered_.end(),
+                     [&](const Unanswered& u) { return is_removed(u.flow); }),
+      unanswered_.end());
+  granted_.erase(
+      std::remove_if(granted_.begin(), granted_.end(),
+                     [&](const auto& g) { return is_removed(g.second); }),
+      granted_.end());
 }
 
 void AgentForwarder::Tick(absl::Time now, AgentActions& actions) {
--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -1,5 +1,6 @@
 #include "skylarkshunt/forwarding/target_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace skylarkshunt {
@@ -14,6 +15,8 @@
 /// Reports up to this sequence number count as the first one. Targets start at
 /// 0 or 1.
 constexpr uint64_t kFirstSequence = 1;
+/// Largest step of the wall clock that a target's start is corrected for.
+constexpr absl::Duration kMaxClockStep = absl::Seconds(4);
 
 }  // namespace
 
@@ -40,6 +43,9 @@
   const bool was_accepting = state(now) == InstanceState::kServing;
   if (first || another)
     seen_from_start_ = another || report.sequence <= kFirstSequence;
+  // The previous incarnation ran when it sent its last report.
+  if (another)
+    restarted_after_ = std::max(last_seen_, report.started - kMaxClockStep);
   known_ = true;
   reported_ = true;
   left_ = false;
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -347,6 +347,8 @@
     Start();
     const FlowPackets flow;
     OpenUntilRequest(flow);
+    Pass(absl::Seconds(1));
+    agent_.OnTargetReport(MakeReport(2), now_, actions_);
     CPPUNIT_ASSERT(agent_.OnTargetReport(MakeReport(1, 2000), now_, actions_) ==
                    TargetChange::kRestarted);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
--- a/unittests/platform_adapter/platform_adapter_test.cc
+++ b/unittests/platform_adapter/platform_adapter_test.cc
@@ -8,6 +8,7 @@
 #include "platform/node_settings.h"
 #include "platform/packet_format.h"
 #include "platform/store_wire.h"
+#include "skylarkshunt/net/poller.h"
 
 namespace skylarkshunt {
 namespace {
@@ -195,11 +196,13 @@
   void EndpointsAnswer() {
     bool ready = false;
     std::string reported;
+    absl::Time started;
     std::string left;
     NodeHooks hooks;
     hooks.is_ready = [&] { return ready; };
     hooks.on_target_report = [&](const TargetReport& report) {
       reported = report.id;
+      started = report.started;
       return true;
     };
     hooks.on_target_left = [&](absl::string_view id) {
@@ -217,6 +220,13 @@
     const absl::string_view path = "/skylarkshunt/Instances.Heartbeat/i-1";
     CPPUNIT_ASSERT_EQUAL(200, reports({"POST", path, kReport}).status);
     CPPUNIT_ASSERT_EQUAL(std::string("i-1"), reported);
+    // Far in the past; the clocks differ by a step at most.
+    CPPUNIT_ASSERT(started < MonotonicNow() - absl::Hours(1));
+    CPPUNIT_ASSERT(started > absl::InfinitePast());
+    const std::string future =
+        Replaced(kReport, "1770748307450", "9000000000000000");
+    CPPUNIT_ASSERT_EQUAL(200, reports({"POST", path, future}).status);
+    CPPUNIT_ASSERT(started == absl::InfinitePast());
     CPPUNIT_ASSERT_EQUAL(400, reports({"POST", path, "{}"}).status);
     reports({"POST", "/skylarkshunt/Instances.Leave/i-2", ""});
     CPPUNIT_ASSERT_EQUAL(std::string("i-2"), left);
