Keep flows that the target answered after a refused health check began

What callers saw: after a crash and a quick restart of a target, a client with a new flow at it was reset, and the target got no further flows until its next report.

Cause: the health check runs on a thread of its own and waits in the command queue. When `target_crashed` was handled, the target could have restarted; all confirmed flows were reset and the target counted as unresponsive.

Fix: the outcome carries the start of the check. A refused connection proves the end of the process that ran before, so flows that were opened or got a packet since are kept, and a target that sent a packet or a report since is not taken for unresponsive.

CrashResetsFlowsAtOnce and PacketBeforeTheGrantDoesNotConfirmTheFlow handled the crash at the instant of the flow's last packet. The check now begins 1 ms later; what they require is unchanged.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -91,8 +91,10 @@
   /// A health check succeeded. Replaces the target's report until the first one
   /// arrives.
   void OnTargetHealthy(uint32_t slots);
-  /// A connection to the target was refused: its process has ended.
-  void OnTargetCrashed(AgentActions& actions);
+  /// A connection to the target was refused in a check that began at `began`:
+  /// the process that ran until then has ended. The target may have restarted
+  /// since.
+  void OnTargetCrashed(absl::Time began, AgentActions& actions);
   /// Handles timeouts. Call it at next_deadline() or before.
   void Tick(absl::Time now, AgentActions& actions);
   /// Returns the time by which Tick() must be called next.
--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -36,8 +36,10 @@
   void OnHealthy(uint32_t slots);
   /// Records that the target did not answer an opening packet in time.
   void OnUnresponsive();
-  /// Records that the target's address refused a connection.
-  void OnConnectionRefused();
+  /// Records that the target's address refused a connection in a check that
+  /// began at `began`. Ignored if the target has sent a packet or a report
+  /// since.
+  void OnConnectionRefused(absl::Time began);
   /// Records that the target returned an opening packet. Returns whether the
   /// target now counts as unresponsive: the address of a crashed target returns
   /// every packet at once, and the target would otherwise look like the least
@@ -67,14 +69,14 @@
  private:
   const std::string service_;
   const absl::Duration interval_;
-  /// Start of the agent, or time of the target's last packet. A target without
-  /// report or health check may be present for some time after it.
-  absl::Time unconfirmed_since_;
+  const absl::Time started_;
   std::string id_;
   int64_t started_unix_ms_ = 0;
   uint64_t sequence_ = 0;
   uint32_t slots_ = 0;
+  /// Last report and last packet.
   absl::Time last_seen_ = absl::InfinitePast();
+  absl::Time last_packet_ = absl::InfinitePast();
   absl::Time restarted_after_ = absl::InfinitePast();
   bool known_ = false;
   bool reported_ = false;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -380,9 +380,9 @@
   target_.OnResponse();
 }
 
-void AgentForwarder::OnTargetCrashed(AgentActions& actions) {
-  target_.OnConnectionRefused();
-  ResetFlows(absl::InfiniteFuture(), "target_crashed", actions);
+void AgentForwarder::OnTargetCrashed(absl::Time began, AgentActions& actions) {
+  target_.OnConnectionRefused(began);
+  ResetFlows(began, "target_crashed", actions);
 }
 
 void AgentForwarder::ResetFlows(absl::Time since,
--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -23,9 +23,7 @@
 TargetState::TargetState(std::string service,
                          absl::Duration interval,
                          absl::Time started)
-    : service_(std::move(service)),
-      interval_(interval),
-      unconfirmed_since_(started) {}
+    : service_(std::move(service)), interval_(interval), started_(started) {}
 
 TargetChange TargetState::OnReport(const TargetReport& report, absl::Time now) {
   if (report.service != service_)
@@ -83,7 +81,9 @@
   unresponsive_ = true;
 }
 
-void TargetState::OnConnectionRefused() {
+void TargetState::OnConnectionRefused(absl::Time began) {
+  if (last_packet_ >= began || last_seen_ >= began)
+    return;
   connection_refused_ = true;
   unresponsive_ = true;
 }
@@ -102,7 +102,7 @@
 }
 
 void TargetState::OnPacket(absl::Time now) {
-  unconfirmed_since_ = now;
+  last_packet_ = now;
   OnResponse();
 }
 
@@ -111,8 +111,9 @@
     return InstanceState::kDown;
   if (!known_) {
     // The target may have opened flows through an earlier process of the agent.
-    const bool absent = connection_refused_ ||
-                        now - unconfirmed_since_ > kMissedReports * interval_;
+    const bool absent =
+        connection_refused_ ||
+        now - std::max(started_, last_packet_) > kMissedReports * interval_;
     return absent ? InstanceState::kDown : InstanceState::kEjected;
   }
   if (draining_)
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -35,6 +35,18 @@
 /// the usual numbers. A target queues requests beyond its slots.
 constexpr uint32_t kAssumedSlots = 4;
 
+absl::string_view OutcomeName(TargetProbe::Outcome outcome) {
+  switch (outcome) {
+    case TargetProbe::Outcome::kHealthy:
+      return "healthy";
+    case TargetProbe::Outcome::kRefused:
+      return "refused";
+    case TargetProbe::Outcome::kUnclear:
+      break;
+  }
+  return "unclear";
+}
+
 class AgentLoop : public NodeLoop {
  public:
   AgentLoop(const Options& options,
@@ -96,13 +108,10 @@
       loop.nodes_.MakeAllDue();
     }
     void operator()(const TargetProbe& probe) const {
-      LogLine(kTargetProbed)
-          .Field("outcome", probe == TargetProbe::kHealthy   ? "healthy"
-                            : probe == TargetProbe::kRefused ? "refused"
-                                                             : "unclear");
-      if (probe == TargetProbe::kRefused)
-        loop.forwarder_.OnTargetCrashed(loop.actions_);
-      if (probe == TargetProbe::kHealthy) {
+      LogLine(kTargetProbed).Field("outcome", OutcomeName(probe.outcome));
+      if (probe.outcome == TargetProbe::Outcome::kRefused)
+        loop.forwarder_.OnTargetCrashed(probe.began, loop.actions_);
+      if (probe.outcome == TargetProbe::Outcome::kHealthy) {
         loop.forwarder_.OnTargetHealthy(kAssumedSlots);
         loop.nodes_.MakeAllDue();
       }
--- a/lib/node/data_command.h
+++ b/lib/node/data_command.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <variant>
 
+#include "absl/time/time.h"
 #include "skylarkshunt/base/ids.h"
 #include "skylarkshunt/forwarding/messages.h"
 #include "skylarkshunt/forwarding/route_table.h"
@@ -23,8 +24,15 @@
   std::string id;
 };
 
-/// Outcome of a check of the target.
-enum class TargetProbe : uint8_t { kHealthy, kRefused, kUnclear };
+/// Result of a check of the target.
+struct TargetProbe {
+  enum class Outcome : uint8_t { kHealthy, kRefused, kUnclear };
+
+  Outcome outcome = Outcome::kUnclear;
+  /// Start of the check on the clock of MonotonicNow(). The target may have
+  /// restarted since.
+  absl::Time began;
+};
 
 struct BeginShutdownCommand {};
 
--- a/lib/node/node_process.cc
+++ b/lib/node/node_process.cc
@@ -81,8 +81,8 @@
       return found == routes->services.end() ? std::string()
                                              : found->second.health_path;
     };
-    prober.on_outcome = [this](TargetProbe outcome) {
-      loop_->Command(outcome);
+    prober.on_outcome = [this](const TargetProbe& probe) {
+      loop_->Command(probe);
     };
     prober_ = std::make_unique<TargetProber>(std::move(prober));
   }
--- a/lib/node/target_prober.cc
+++ b/lib/node/target_prober.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "skylarkshunt/http/http_client.h"
+#include "skylarkshunt/net/poller.h"
 
 namespace skylarkshunt {
 namespace {
@@ -35,23 +36,27 @@
       continue;
     if (!*request)
       return;
-    options_.on_outcome(Check());
+    TargetProbe probe;
+    probe.began = MonotonicNow();
+    probe.outcome = Check();
+    options_.on_outcome(probe);
   }
 }
 
-TargetProbe TargetProber::Check() const {
+TargetProbe::Outcome TargetProber::Check() const {
   HttpCall call;
   call.server = options_.target;
   call.target = options_.health_path();
   if (call.target.empty())
-    return TargetProbe::kUnclear;
+    return TargetProbe::Outcome::kUnclear;
   call.timeout = kProbeTimeout;
   const Result<HttpAnswer> answer = Call(call);
   if (answer.has_value())
-    return answer.value().status == kOk ? TargetProbe::kHealthy
-                                        : TargetProbe::kUnclear;
-  return answer.error().kind == ErrorKind::kRefused ? TargetProbe::kRefused
-                                                    : TargetProbe::kUnclear;
+    return answer.value().status == kOk ? TargetProbe::Outcome::kHealthy
+                                        : TargetProbe::Outcome::kUnclear;
+  return answer.error().kind == ErrorKind::kRefused
+             ? TargetProbe::Outcome::kRefused
+             : TargetProbe::Outcome::kUnclear;
 }
 
 }  // namespace skylarkshunt
--- a/lib/node/target_prober.h
+++ b/lib/node/target_prober.h
@@ -20,7 +20,7 @@
     Endpoint target;
     /// Returns the path of the health check, or an empty string if unknown.
     std::function<std::string()> health_path;
-    std::function<void(TargetProbe)> on_outcome;
+    std::function<void(const TargetProbe&)> on_outcome;
   };
 
   explicit TargetProber(Options options);
@@ -33,7 +33,7 @@
 
  private:
   void Run();
-  TargetProbe Check() const;
+  TargetProbe::Outcome Check() const;
 
   const Options options_;
   /// True requests a check, false ends the thread.
--- a/unittests/flow_proof/agent_proof_test.cc
+++ b/unittests/flow_proof/agent_proof_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(RestartOfTheTargetKeepsTheFlowsOfItsNewIncarnation);
   CPPUNIT_TEST(RestartKeepsNewFlowsAfterABackwardClockStep);
   CPPUNIT_TEST(RestartKeepsUnansweredOpeningsOfTheNewIncarnation);
+  CPPUNIT_TEST(RefusedProbeKeepsFlowsAnsweredAfterItBegan);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -72,6 +73,24 @@
                    ReturnReason::kTargetUnresponsive);
   }
 
+  // A health check is refused, and the target has restarted and opened a flow
+  // before the outcome is handled. Guards against a reset of that flow.
+  void RefusedProbeKeepsFlowsAnsweredAfterItBegan() {
+    Start();
+    const FlowPackets earlier(1);
+    OpenUntilRequest(earlier);
+    Pass(absl::Seconds(1));
+    const absl::Time began = now_;
+    Pass(absl::Milliseconds(100));
+    const FlowPackets later(2);
+    OpenUntilRequest(later);
+    Crash(began);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
+    CPPUNIT_ASSERT(actions_.resets[0].flow == earlier.flow());
+    CPPUNIT_ASSERT(agent_.load(now_).accepts_flows());
+    ExpectHeld(later);
+  }
+
  private:
   /// The first report of a target that started after its agent.
   void Start() { ReportFirst(now_); }
@@ -98,8 +117,7 @@
   /// Handles a refused health check that began at `began`.
   void Crash(absl::Time began) {
     actions_.Clear();
-    static_cast<void>(began);
-    agent_.OnTargetCrashed(actions_);
+    agent_.OnTargetCrashed(began, actions_);
   }
 
   void Pass(absl::Duration time) {
--- a/unittests/flow_proof/agent_restart_test.cc
+++ b/unittests/flow_proof/agent_restart_test.cc
@@ -71,7 +71,7 @@
   void TargetThatRefusesConnectionsIsAbsent() {
     AgentForwarder agent(MakeAgentOptions(1), kStart);
     AgentActions actions;
-    agent.OnTargetCrashed(actions);
+    agent.OnTargetCrashed(kStart, actions);
     CPPUNIT_ASSERT(agent.load(kStart).state == InstanceState::kDown);
     agent.OnTargetReport(MakeReport(1), kStart, actions);
     CPPUNIT_ASSERT(agent.load(kStart).accepts_flows());
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -360,7 +360,8 @@
     Start();
     const FlowPackets flow;
     OpenUntilRequest(flow);
-    agent_.OnTargetCrashed(actions_);
+    Pass(absl::Milliseconds(1));
+    agent_.OnTargetCrashed(now_, actions_);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
     CPPUNIT_ASSERT(!agent_.load(now_).accepts_flows());
   }
@@ -488,8 +489,8 @@
     Open(other);
     agent_.OnForwarded(Forward(ForwardMode::kEstablished),
                        other.Request(kOtherGrant), kEntry, now_, actions_);
-    actions_.Clear();
-    agent_.OnTargetCrashed(actions_);
+    Pass(absl::Milliseconds(1));
+    agent_.OnTargetCrashed(now_, actions_);
     CPPUNIT_ASSERT(actions_.resets.empty());
   }
 
