Deny packets of a later flow with the same addresses and ports

What callers saw: a client reused a port while an agent still had state of its earlier flow from that port (70 s without packets). When the later flow, open at another target, was searched, this agent claimed to hold it, delivered the packet to its target, and reset the client when the target returned it.

Cause: state of a confirmed flow was trusted for every packet with the same addresses and ports. A grant for a later flow left the state confirmed.

Fix: an agent knows which sequence numbers its target has used on a flow. All packets of the target pass through the agent, so a client can acknowledge nothing beyond them but what 16 packets in flight allow. A packet that acknowledges other numbers is of another flow: it is not delivered, is denied, and its return is no proof that the target lost the flow. A grant outside the range starts a new, unconfirmed state; the target decides about packets of either flow until the client has acknowledged one of them. Two random sequences are mistaken for each other with a probability of 131,072 plus the bytes of the flow in 2^32.

--- a/include/skylarkshunt/forwarding/agent_flows.h
+++ b/include/skylarkshunt/forwarding/agent_flows.h
@@ -41,6 +41,11 @@
     /// The request timed out and has been counted as failed.
     bool timed_out = false;
     uint32_t target_sequence = 0;
+    /// Sequence numbers that the target has used on this flow: from the grant,
+    /// or a bound below the first packet seen, up to the byte after the last.
+    bool target_range_known = false;
+    uint32_t target_range_begin = 0;
+    uint32_t target_range_end = 0;
     /// Sequence number of the client's next byte, which starts a new request.
     uint32_t client_next = 0;
     bool client_next_known = false;
@@ -72,7 +77,8 @@
   /// before this agent started, or its state was erased because the client
   /// accepted the grant of another target.
   void Adopt(const FlowId& id, const PacketHeader& header, absl::Time now);
-  /// Records that the target granted the flow.
+  /// Records that the target granted the flow. A grant outside the sequence
+  /// numbers of an open flow is for a later flow with the same ports.
   void RecordGrant(Flow& flow, const PacketHeader& header, absl::Time now);
   void RecordClientPacket(Flow& flow,
                           const PacketHeader& header,
@@ -109,9 +115,11 @@
   /// times per second.
   void Sweep(absl::Time now);
 
-  /// Whether the client's packet acknowledges the grant of another target.
-  static bool AcknowledgesOtherGrant(const Flow& flow,
-                                     const PacketHeader& header);
+  /// Whether the client's packet acknowledges sequence numbers that this target
+  /// has not used on the flow. The client accepted the grant of another target,
+  /// or `flow` is an earlier flow with the same addresses and ports.
+  static bool AcknowledgesOtherTarget(const Flow& flow,
+                                      const PacketHeader& header);
 
   /// Requests that run or are expected at the target.
   uint32_t busy() const { return busy_; }
@@ -130,6 +138,8 @@
  private:
   void SetBusy(Flow& flow, bool busy);
   void SetEnded(Flow& flow);
+  /// Adds the packet of the target to its sequence numbers on the flow.
+  static void ExtendTargetRange(Flow& flow, const PacketHeader& header);
   /// Records the outcome of a request whose answer has ended.
   void RecordAnswerEnd(const FlowId& id, const Flow& flow, absl::Time now);
   /// Updates the service time from a request without an answer, and counts the
--- a/lib/forwarding/agent_flows.cc
+++ b/lib/forwarding/agent_flows.cc
@@ -13,9 +13,10 @@
 /// Time without packets after which a flow is removed. In the deployments a
 /// flow ends after at most 60 s, and earlier if it is idle.
 constexpr absl::Duration kIdleLifetime = absl::Seconds(70);
-/// An acknowledgement less than this above the sequence of a grant belongs to
-/// that grant. The client's first packets fall within the 16 packets that a
-/// target sends ahead, and the sequences of other targets' grants are random.
+/// An acknowledgement less than this above a sequence number of the target
+/// belongs to the same flow. The client's packets fall within the 16 packets
+/// that a target sends ahead, and the sequences of other targets' grants are
+/// random.
 constexpr uint32_t kSequenceWindow = 1U << 17;
 /// Weight of a new sample in the average handshake time.
 constexpr double kHandshakeWeight = 0.05;
@@ -36,6 +37,11 @@
   return static_cast<int32_t>(a - b) > 0;
 }
 
+bool IsInTargetRange(const AgentFlows::Flow& flow, uint32_t sequence) {
+  const uint32_t length = flow.target_range_end - flow.target_range_begin;
+  return sequence - flow.target_range_begin < length + kSequenceWindow;
+}
+
 }  // namespace
 
 AgentFlows::Flow* AgentFlows::Find(const FlowId& id) {
@@ -75,6 +81,7 @@
   }
   flow.phase = Phase::kOpen;
   flow.confirmed = true;
+  ExtendTargetRange(flow, header);
 }
 
 void AgentFlows::RecordGrant(Flow& flow,
@@ -82,8 +89,29 @@
                              absl::Time now) {
   flow.used = now;
   flow.answered = now;
+  if (flow.confirmed) {
+    if (!flow.target_range_known || IsInTargetRange(flow, header.sequence))
+      return;
+    SetBusy(flow, false);
+    if (flow.phase == Phase::kEnded)
+      ++open_;
+    Flow later;
+    later.entry = flow.entry;
+    later.kind = flow.kind;
+    later.used = now;
+    later.answered = now;
+    flow = later;
+    // The range stays unknown, so that the target decides about packets of
+    // either flow.
+    flow.target_sequence = header.sequence;
+    flow.target_sequence_known = true;
+    return;
+  }
   flow.target_sequence = header.sequence;
   flow.target_sequence_known = true;
+  flow.target_range_known = true;
+  flow.target_range_begin = header.sequence;
+  flow.target_range_end = header.sequence;
 }
 
 void AgentFlows::RecordClientPacket(Flow& flow,
@@ -137,6 +165,7 @@
   flow.used = now;
   flow.answered = now;
   flow.confirmed = true;
+  ExtendTargetRange(flow, header);
   // The packets of an answer arrive in any order, often the last one first.
   const bool answers = header.payload_bytes > 0 || header.ending;
   absl::optional<absl::Duration> answered_after;
@@ -212,10 +241,23 @@
     Erase(id);
 }
 
-bool AgentFlows::AcknowledgesOtherGrant(const Flow& flow,
-                                        const PacketHeader& header) {
-  return !flow.confirmed && header.acknowledges && flow.target_sequence_known &&
-         !FollowsSequence(header.acknowledged, flow.target_sequence);
+bool AgentFlows::AcknowledgesOtherTarget(const Flow& flow,
+                                         const PacketHeader& header) {
+  return header.acknowledges && flow.target_range_known &&
+         !IsInTargetRange(flow, header.acknowledged);
+}
+
+void AgentFlows::ExtendTargetRange(Flow& flow, const PacketHeader& header) {
+  if (header.reset || (header.payload_bytes == 0 && !header.ending))
+    return;
+  const uint32_t end = header.sequence + header.payload_bytes;
+  if (!flow.target_range_known) {
+    flow.target_range_known = true;
+    flow.target_range_begin = header.sequence - kSequenceWindow;
+    flow.target_range_end = end;
+  } else if (IsAfter(end, flow.target_range_end)) {
+    flow.target_range_end = end;
+  }
 }
 
 void AgentFlows::SetBusy(Flow& flow, bool busy) {
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -222,9 +222,9 @@
       Deliver(std::move(delivery), forwarded.packet, actions);
     return;
   }
-  if (AgentFlows::AcknowledgesOtherGrant(*flow, header)) {
-    // The client accepted the grant of another target.
-    flows_.Erase(id);
+  if (AgentFlows::AcknowledgesOtherTarget(*flow, header)) {
+    if (!flow->confirmed)
+      flows_.Erase(id);
     ReturnToEntry(delivery, ReturnReason::kNotHeld, forwarded.packet, now,
                   actions);
     return;
@@ -306,7 +306,9 @@
     ServeQueue(now, actions);
     return;
   }
-  const bool lost = flow != nullptr &&
+  const bool other =
+      flow != nullptr && AgentFlows::AcknowledgesOtherTarget(*flow, header);
+  const bool lost = flow != nullptr && !other &&
                     flow->phase == AgentFlows::Phase::kOpen && flow->confirmed;
   if (lost) {
     // The flow was open at this target, which has lost it: the target has
@@ -321,9 +323,13 @@
     flows_.Erase(id);
     return;
   }
-  flows_.Erase(id);
-  if (not_held_.size() < kMaxNotHeld)
-    not_held_[id] = now;
+  // The packet may belong to a later flow while the target still holds this
+  // one.
+  if (!other || !flow->confirmed) {
+    flows_.Erase(id);
+    if (not_held_.size() < kMaxNotHeld)
+      not_held_[id] = now;
+  }
   ReturnToEntry(delivery, ReturnReason::kNotHeld, packet, now, actions);
 }
 
--- a/unittests/flow_proof/agent_proof_test.cc
+++ b/unittests/flow_proof/agent_proof_test.cc
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include "agent_inputs.h"
 
 namespace skylarkshunt {
@@ -16,6 +18,10 @@
   CPPUNIT_TEST(RestartKeepsNewFlowsAfterABackwardClockStep);
   CPPUNIT_TEST(RestartKeepsUnansweredOpeningsOfTheNewIncarnation);
   CPPUNIT_TEST(RefusedProbeKeepsFlowsAnsweredAfterItBegan);
+  CPPUNIT_TEST(PacketOfALaterFlowWithTheSamePortsIsNotHeld);
+  CPPUNIT_TEST(ReturnedPacketOfALaterFlowDoesNotResetIt);
+  CPPUNIT_TEST(GrantWithAnotherSequenceStartsANewFlow);
+  CPPUNIT_TEST(LongAnswerDoesNotMoveTheFlowOutOfItsSequences);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -91,6 +97,84 @@
     ExpectHeld(later);
   }
 
+  // The client of an earlier flow gave up, and its next flow from the same port
+  // is open at another target. Guards against a packet of that flow that
+  // reaches this target, which answers it for the earlier flow.
+  void PacketOfALaterFlowWithTheSamePortsIsNotHeld() {
+    Start();
+    const FlowPackets flow;
+    OpenUntilRequest(flow);
+    Answer(flow);
+    Pass(absl::Seconds(20));
+    agent_.OnForwarded(Forward(ForwardMode::kSearch),
+                       flow.Request(kOtherGrant, kOtherClientSequence), kEntry,
+                       now_, actions_);
+    CPPUNIT_ASSERT(actions_.to_target.empty());
+    CPPUNIT_ASSERT(ReturnedToEntry().reason == ReturnReason::kNotHeld);
+  }
+
+  // As in PacketOfALaterFlowWithTheSamePortsIsNotHeld, but this target's grant
+  // overtakes the packet. Guards against a reset of the later flow.
+  void ReturnedPacketOfALaterFlowDoesNotResetIt() {
+    agent_.OnTargetReport(MakeReport(40), now_, actions_);
+    const FlowPackets flow;
+    agent_.OnForwarded(Forward(ForwardMode::kSearch),
+                       flow.Request(kOtherGrant, kOtherClientSequence), kEntry,
+                       now_, actions_);
+    const uint32_t token = actions_.to_target.at(0).return_token;
+    agent_.OnTargetPacket(flow.Answer(false), kPacketBytes, now_, actions_);
+    actions_.Clear();
+    agent_.OnTargetPacket(
+        FlowPackets::Returned(flow.Request(kOtherGrant, kOtherClientSequence),
+                              token),
+        kPacketBytes, now_, actions_);
+    CPPUNIT_ASSERT(actions_.resets.empty());
+    CPPUNIT_ASSERT(ReturnedToEntry().reason == ReturnReason::kNotHeld);
+  }
+
+  // The target of a restarted agent grants a later flow with the ports of one
+  // that the agent adopted. Guards against state that counts the later flow as
+  // confirmed.
+  void GrantWithAnotherSequenceStartsANewFlow() {
+    agent_.OnTargetReport(MakeReport(40), now_, actions_);
+    const FlowPackets flow;
+    agent_.OnTargetPacket(flow.Answer(false), kPacketBytes, now_, actions_);
+    agent_.OnTargetPacket(flow.Grant(kOtherGrant - 1), kPacketBytes, now_,
+                          actions_);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, agent_.load(now_).open_flows);
+    actions_.Clear();
+    Crash(now_ + absl::Seconds(1));
+    CPPUNIT_ASSERT(actions_.resets.empty());
+  }
+
+  // Guards against an agent that denies an open flow because its sequence
+  // numbers have moved far from the grant.
+  void LongAnswerDoesNotMoveTheFlowOutOfItsSequences() {
+    Start();
+    const FlowPackets flow;
+    OpenUntilRequest(flow);
+    uint32_t sequence = 9001;
+    for (int i = 0; i < 1'000; ++i) {
+      PacketHeader data = flow.Answer(false);
+      data.sequence = sequence;
+      data.payload_bytes = 1'200;
+      sequence += data.payload_bytes;
+      agent_.OnTargetPacket(data, kPacketBytes, now_, actions_);
+      actions_.Clear();
+      // Up to 16 packets are not acknowledged.
+      const uint32_t acknowledged =
+          std::max(9001U + 16 * 1'200, sequence) - 16 * 1'200;
+      agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                         flow.Request(acknowledged, 300), kEntry, now_,
+                         actions_);
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_target.size());
+    }
+    // A packet that was delayed since the grant.
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished), flow.Request(),
+                       kEntry, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, actions_.to_target.size());
+  }
+
  private:
   /// The first report of a target that started after its agent.
   void Start() { ReportFirst(now_); }
