Track a flow whose ports an earlier flow at the same agent has used

What callers saw: a client opened a flow from a port of which the agent still had state. After five seconds the agent denied the open flow to other entries, or it reset the client when another target had the flow.

Cause: any opening packet of a known flow was taken for a retransmission. The later flow inherited the phase of the earlier one: an ended flow stayed ended and was removed after 5 s, an open one stayed confirmed before its grant. It did not count as load either.

Evidence, on: agent_proof_test.cc:156 LaterFlowWithTheSamePortsReplacesTheEarlierOne busy: expected 1, actual 0 agent_proof_test.cc:195 FlowAfterAnEndedOneWithTheSamePortsIsTracked open flows: expected 1, actual 0

Fix: a flow remembers the sequence number of its opening packet, which retransmissions share. An opening packet with another one passes the queue like that of any new flow and replaces the state when it goes to the target. A flow whose opening packet is unknown is replaced if it has ended.

A waiting retransmission whose flow the target has granted meanwhile goes to the target without a second state; it counted the flow twice.

--- a/include/skylarkshunt/forwarding/agent_flows.h
+++ b/include/skylarkshunt/forwarding/agent_flows.h
@@ -46,6 +46,9 @@
     bool target_range_known = false;
     uint32_t target_range_begin = 0;
     uint32_t target_range_end = 0;
+    /// Sequence number of the opening packet.
+    uint32_t client_sequence = 0;
+    bool client_sequence_known = false;
     /// Sequence number of the client's next byte, which starts a new request.
     uint32_t client_next = 0;
     bool client_next_known = false;
@@ -70,9 +73,18 @@
   /// packets.
   bool is_full() const;
 
-  /// Adds a flow whose opening packet goes to the target. Its expected request
-  /// counts as load from now on.
-  void Open(const FlowId& id, Endpoint entry, RequestKind kind, absl::Time now);
+  /// Adds a flow whose opening packet with the given sequence number goes to
+  /// the target, and removes an earlier one with the same id. Its expected
+  /// request counts as load from now on.
+  void Open(const FlowId& id,
+            Endpoint entry,
+            RequestKind kind,
+            uint32_t sequence,
+            absl::Time now);
+  /// Whether an opening packet with the given sequence number is the one that
+  /// opened the known flow `id`. Otherwise it opens a later flow with the same
+  /// addresses and ports.
+  bool IsOpenedBy(const FlowId& id, uint32_t sequence) const;
   /// Adds the unknown flow of a packet from the target. The flow was opened
   /// before this agent started, or its state was erased because the client
   /// accepted the grant of another target.
--- a/include/skylarkshunt/forwarding/opening_queue.h
+++ b/include/skylarkshunt/forwarding/opening_queue.h
@@ -19,6 +19,8 @@
   FlowId flow;
   Endpoint entry;
   RequestKind kind = RequestKind::kNonIdempotent;
+  /// The client's first sequence number.
+  uint32_t sequence = 0;
   /// 0 is the most urgent.
   uint8_t priority = 0;
   /// An answer after this time has much less value for the client.
--- a/lib/forwarding/agent_flows.cc
+++ b/lib/forwarding/agent_flows.cc
@@ -56,10 +56,14 @@
 void AgentFlows::Open(const FlowId& id,
                       Endpoint entry,
                       RequestKind kind,
+                      uint32_t sequence,
                       absl::Time now) {
+  Erase(id);
   Flow& flow = flows_[id];
   flow.entry = entry;
   flow.kind = kind;
+  flow.client_sequence = sequence;
+  flow.client_sequence_known = true;
   flow.used = now;
   flow.opened = now;
   flow.requested = now;
@@ -68,6 +72,15 @@
   SetBusy(flow, true);
 }
 
+bool AgentFlows::IsOpenedBy(const FlowId& id, uint32_t sequence) const {
+  const auto known = flows_.find(id);
+  if (known == flows_.end())
+    return false;
+  const Flow& flow = known->second;
+  return flow.client_sequence_known ? flow.client_sequence == sequence
+                                    : flow.phase != Phase::kEnded;
+}
+
 void AgentFlows::Adopt(const FlowId& id,
                        const PacketHeader& header,
                        absl::Time now) {
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -69,7 +69,7 @@
   delivery.entry = entry;
   delivery.mode = ForwardMode::kOpening;
   delivery.declined = forwarded.declined;
-  if (flows_.Contains(delivery.flow)) {
+  if (flows_.IsOpenedBy(delivery.flow, header.sequence)) {
     // A retransmission: the target answers it like the first packet.
     Deliver(std::move(delivery), forwarded.packet, actions);
     ReportPlaced(header.flow_from_client(), entry, now, actions);
@@ -99,6 +99,7 @@
   opening.flow = delivery.flow;
   opening.entry = entry;
   opening.kind = forwarded.kind;
+  opening.sequence = header.sequence;
   opening.priority = forwarded.priority;
   opening.opened = now - header.opening_age;
   opening.objective =
@@ -114,7 +115,8 @@
     ReturnWaiting(*std::move(dropped), ReturnReason::kQueueFull, now, actions);
   ServeQueue(now, actions);
   RefuseUnservable(now, actions);
-  if (queue_.Contains(delivery.flow) || flows_.Contains(delivery.flow))
+  if (queue_.Contains(delivery.flow) ||
+      flows_.IsOpenedBy(delivery.flow, header.sequence))
     ReportPlaced(delivery.flow, entry, now, actions);
 }
 
@@ -156,7 +158,16 @@
                                   absl::Time now,
                                   AgentActions& actions) {
   not_held_.erase(opening.flow);
-  flows_.Open(opening.flow, opening.entry, opening.kind, now);
+  if (flows_.IsOpenedBy(opening.flow, opening.sequence)) {
+    // The target granted an earlier transmission after its timeout.
+    Delivery retransmission;
+    retransmission.flow = opening.flow;
+    retransmission.entry = opening.entry;
+    retransmission.declined = opening.declined;
+    Deliver(std::move(retransmission), opening.packet, actions);
+    return;
+  }
+  flows_.Open(opening.flow, opening.entry, opening.kind, opening.sequence, now);
   Decision decision =
       MakeDecision(DecisionKind::kAccepted, opening.flow, "slot");
   decision.time = opening.client_deadline - now;
--- a/unittests/flow_proof/agent_proof_test.cc
+++ b/unittests/flow_proof/agent_proof_test.cc
@@ -20,6 +20,8 @@
   CPPUNIT_TEST(RefusedProbeKeepsFlowsAnsweredAfterItBegan);
   CPPUNIT_TEST(PacketOfALaterFlowWithTheSamePortsIsNotHeld);
   CPPUNIT_TEST(ReturnedPacketOfALaterFlowDoesNotResetIt);
+  CPPUNIT_TEST(LaterFlowWithTheSamePortsReplacesTheEarlierOne);
+  CPPUNIT_TEST(FlowAfterAnEndedOneWithTheSamePortsIsTracked);
   CPPUNIT_TEST(GrantWithAnotherSequenceStartsANewFlow);
   CPPUNIT_TEST(LongAnswerDoesNotMoveTheFlowOutOfItsSequences);
   CPPUNIT_TEST_SUITE_END();
@@ -132,6 +134,69 @@
     CPPUNIT_ASSERT(ReturnedToEntry().reason == ReturnReason::kNotHeld);
   }
 
+  // A flow opens at another target after this one granted it as well. Guards
+  // against its reset because of the earlier flow, which was open here.
+  void LaterFlowWithTheSamePortsReplacesTheEarlierOne() {
+    Start();
+    const FlowPackets flow;
+    OpenUntilRequest(flow);
+    Answer(flow);
+    Pass(absl::Seconds(20));
+    Report(2);
+    PacketHeader opening = flow.Opening();
+    opening.sequence = kOtherClientSequence;
+    agent_.OnForwarded(Forward(ForwardMode::kOpening), opening, kEntry, now_,
+                       actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_target.size());
+    CPPUNIT_ASSERT_EQUAL(uint16_t{1}, agent_.load(now_).busy);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, agent_.load(now_).open_flows);
+    // The client's packet overtakes this target's grant.
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                       flow.Request(kOtherGrant, kOtherClientSequence), kEntry,
+                       now_, actions_);
+    const uint32_t token = actions_.to_target.at(1).return_token;
+    actions_.Clear();
+    agent_.OnTargetPacket(
+        FlowPackets::Returned(flow.Request(kOtherGrant, kOtherClientSequence),
+                              token),
+        kPacketBytes, now_, actions_);
+    CPPUNIT_ASSERT(actions_.resets.empty());
+    CPPUNIT_ASSERT(ReturnedToEntry().reason == ReturnReason::kNotHeld);
+  }
+
+  // Guards against an open flow that its agent removes and denies after a few
+  // seconds, since an earlier flow with the same ports had ended.
+  void FlowAfterAnEndedOneWithTheSamePortsIsTracked() {
+    Start();
+    const FlowPackets flow;
+    OpenUntilRequest(flow);
+    Answer(flow);
+    PacketHeader end = flow.Request(9502, 300);
+    end.payload_bytes = 0;
+    end.ending = true;
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished), end, kEntry, now_,
+                       actions_);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, agent_.load(now_).open_flows);
+    Pass(absl::Seconds(1));
+    PacketHeader opening = flow.Opening();
+    opening.sequence = kOtherClientSequence;
+    agent_.OnForwarded(Forward(ForwardMode::kOpening), opening, kEntry, now_,
+                       actions_);
+    agent_.OnTargetPacket(flow.Grant(kOtherGrant - 1), kPacketBytes, now_,
+                          actions_);
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                       flow.Request(kOtherGrant, kOtherClientSequence), kEntry,
+                       now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, agent_.load(now_).open_flows);
+    Pass(absl::Seconds(6));
+    agent_.Tick(now_, actions_);
+    actions_.Clear();
+    agent_.OnForwarded(Forward(ForwardMode::kSearch),
+                       flow.Request(kOtherGrant, kOtherClientSequence), kEntry,
+                       now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_target.size());
+  }
+
   // The target of a restarted agent grants a later flow with the ports of one
   // that the agent adopted. Guards against state that counts the later flow as
   // confirmed.
