Deny unknown flows only of a target that started after its agent

What callers saw: an agent opened flows at a target after a health check, restarted, and then reset clients of these flows through the entries: the first report that the new process received had sequence number 0 or 1.

Cause: a first report with such a number was taken as proof that the agent had seen the target from its start. An earlier process of the agent can have opened flows before that report.

Evidence, on: agent_proof_test.cc:254 TargetOlderThanItsAgentIsNotSeenFromItsStart packets to the target: expected 1, actual 0

Fix: all flows of a target pass through its agent, so an agent knows all of them if the target started after this process of the agent, whatever the number of the first report. Otherwise the target decides about an unknown flow. A wall clock that steps back between the start of a target and that of its agent, by more than their distance, still leads to a wrong denial.

The price: a target that starts shortly before its agent gets the packets of unknown flows once, although its first report has number 1.

OnlyTheFirstReportProvesThatAllFlowsAreKnown required the old rule in one of its cases. OnlyATargetThatStartedAfterItsAgentIsSeenFromItsStart replaces it and checks three sequence numbers with three starts. AgentForwarderTest starts its target one second after the agent.

--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -62,8 +62,8 @@
   /// as a restart. Packets that the target sent before belong to an earlier
   /// one.
   absl::Time restarted_after() const { return restarted_after_; }
-  /// Whether the agent has seen this incarnation since its first report, and
-  /// therefore knows all its flows.
+  /// Whether this incarnation started after the agent. All its flows then
+  /// passed through this process of the agent, which knows them.
   bool seen_from_start() const { return seen_from_start_; }
 
  private:
--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -12,9 +12,6 @@
 /// unresponsive. It gets fewer at a time than it has room for: a single return
 /// may be due to a limit, two are not.
 constexpr int kRefusalsUntilUnresponsive = 2;
-/// Reports up to this sequence number count as the first one. Targets start at
-/// 0 or 1.
-constexpr uint64_t kFirstSequence = 1;
 /// Largest step of the wall clock that a target's start is corrected for.
 constexpr absl::Duration kMaxClockStep = absl::Seconds(4);
 
@@ -40,7 +37,7 @@
   const bool first = !reported_;
   const bool was_accepting = state(now) == InstanceState::kServing;
   if (first || another)
-    seen_from_start_ = another || report.sequence <= kFirstSequence;
+    seen_from_start_ = another || report.started > started_;
   // The previous incarnation ran when it sent its last report.
   if (another)
     restarted_after_ = std::max(last_seen_, report.started - kMaxClockStep);
--- a/unittests/flow_proof/agent_proof_test.cc
+++ b/unittests/flow_proof/agent_proof_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(FlowAfterAnEndedOneWithTheSamePortsIsTracked);
   CPPUNIT_TEST(GrantWithAnotherSequenceStartsANewFlow);
   CPPUNIT_TEST(LongAnswerDoesNotMoveTheFlowOutOfItsSequences);
+  CPPUNIT_TEST(TargetOlderThanItsAgentIsNotSeenFromItsStart);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -240,6 +241,17 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, actions_.to_target.size());
   }
 
+  // An earlier process of the agent opened flows before the target's first
+  // report. Guards against an agent that takes that report as proof that it
+  // knows all flows.
+  void TargetOlderThanItsAgentIsNotSeenFromItsStart() {
+    ReportFirst(now_ - absl::Minutes(10));
+    agent_.OnForwarded(Forward(ForwardMode::kSearch), FlowPackets().Request(),
+                       kEntry, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_target.size());
+    CPPUNIT_ASSERT(actions_.to_entries.empty());
+  }
+
  private:
   /// The first report of a target that started after its agent.
   void Start() { ReportFirst(now_); }
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -495,7 +495,12 @@
   }
 
  private:
-  void Start() { agent_.OnTargetReport(MakeReport(1), now_, actions_); }
+  /// The first report of a target that started after its agent.
+  void Start() {
+    TargetReport report = MakeReport(1);
+    report.started = now_;
+    agent_.OnTargetReport(report, now_, actions_);
+  }
 
   void Pass(absl::Duration time) {
     now_ += time;
@@ -542,7 +547,7 @@
   }
 
   absl::Time now_ = kStart;
-  AgentForwarder agent_{MakeOptions(), kStart};
+  AgentForwarder agent_{MakeOptions(), kStart - absl::Seconds(1)};
   AgentActions actions_;
 };
 
--- a/unittests/forwarding/target_state_test.cc
+++ b/unittests/forwarding/target_state_test.cc
@@ -26,7 +26,7 @@
   CPPUNIT_TEST(RestartWithTheSameIdIsRecognized);
   CPPUNIT_TEST(MissedReportsEjectAndAReportRestores);
   CPPUNIT_TEST(LeaveOfAnotherTargetIsIgnored);
-  CPPUNIT_TEST(OnlyTheFirstReportProvesThatAllFlowsAreKnown);
+  CPPUNIT_TEST(OnlyATargetThatStartedAfterItsAgentIsSeenFromItsStart);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -80,12 +80,27 @@
     CPPUNIT_ASSERT(target_.state(kStart) == InstanceState::kDown);
   }
 
-  void OnlyTheFirstReportProvesThatAllFlowsAreKnown() {
-    target_.OnReport(Report("i-1", 1000, 8), kStart);
-    CPPUNIT_ASSERT(!target_.seen_from_start());
+  // Guards against an agent that denies flows which an earlier process of it
+  // has opened.
+  void OnlyATargetThatStartedAfterItsAgentIsSeenFromItsStart() {
+    for (const uint64_t sequence : {0, 1, 8}) {
+      TargetReport report = Report("i-1", 1000, sequence);
+      CPPUNIT_ASSERT(!IsSeenFromStart(report));
+      report.started = kStart;
+      CPPUNIT_ASSERT(!IsSeenFromStart(report));
+      report.started = kStart + absl::Milliseconds(1);
+      CPPUNIT_ASSERT(IsSeenFromStart(report));
+    }
   }
 
  private:
+  /// Whether an agent that started at kStart knows all flows of the target.
+  static bool IsSeenFromStart(const TargetReport& report) {
+    TargetState target("dispatch", kInterval, kStart);
+    target.OnReport(report, kStart + absl::Seconds(1));
+    return target.seen_from_start();
+  }
+
   TargetState target_{"dispatch", kInterval, kStart};
 };
 
