Drop a waiting opening packet once its flow is known to be open

What callers saw: a client with an open flow was reset. A retransmission of its opening packet had opened the flow at another target, or this target had granted it later than its timeout, and the packet that waited in this agent's queue was returned to its entry with `no_slot_in_time`, which refuses.

Cause: the queue did not learn from packets of the established flow, nor from a grant for a flow without state, that the flow was open.

Evidence, on: agent_proof_test.cc:286 OpeningOfAFlowOpenElsewhereLeavesTheQueue waiting: expected 1, actual 2 agent_proof_test.cc:310 RetransmissionOfALateGrantedFlowLeavesTheQueue waiting: expected 0, actual 1 agent_proof_test.cc:327 PacketOfAnEarlierFlowKeepsTheWaitingOpening waiting: expected 1, actual 0 (the packet was taken for a retransmission of the earlier flow)

Fix: a client's packet of a flow that is not open here removes the waiting opening packet without a return, and so does a late grant. A packet of an earlier flow with the same ports, which the agent still tracks, does not. If the agent does not track it, a late packet of the earlier flow costs the client the time to its retransmission.

LateGrantIsAdopted passes before and after: a grant after the timeout is adopted, and a search finds the flow.

--- a/include/skylarkshunt/forwarding/opening_queue.h
+++ b/include/skylarkshunt/forwarding/opening_queue.h
@@ -86,6 +86,9 @@
   /// Removes and returns all packets.
   std::vector<WaitingOpening> TakeAll();
 
+  /// Removes the packet of the flow, if any.
+  void Remove(const FlowId& flow);
+
   bool Contains(const FlowId& flow) const;
   bool empty() const { return waiting_.empty(); }
   size_t size() const { return waiting_.size(); }
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -220,6 +220,12 @@
   delivery.entry = entry;
   delivery.mode = forwarded.mode;
   AgentFlows::Flow* flow = flows_.Find(id);
+  const bool other =
+      flow != nullptr && AgentFlows::AcknowledgesOtherTarget(*flow, header);
+  // The flow is open at another target. Returning its waiting opening packet
+  // would refuse the client.
+  if (flow == nullptr || other)
+    queue_.Remove(id);
   if (flow == nullptr) {
     const auto denied = not_held_.find(id);
     const bool not_held =
@@ -233,7 +239,7 @@
       Deliver(std::move(delivery), forwarded.packet, actions);
     return;
   }
-  if (AgentFlows::AcknowledgesOtherTarget(*flow, header)) {
+  if (other) {
     if (!flow->confirmed)
       flows_.Erase(id);
     ReturnToEntry(delivery, ReturnReason::kNotHeld, forwarded.packet, now,
@@ -265,6 +271,9 @@
   } else if (!flows_.is_full() && !header.reset) {
     flows_.Adopt(id, header, now);
     not_held_.erase(id);
+    // A waiting retransmission must not refuse the flow.
+    if (header.opening)
+      queue_.Remove(id);
   }
   actions.to_clients.push_back({header.destination.address, packet});
   ServeQueue(now, actions);
--- a/lib/forwarding/opening_queue.cc
+++ b/lib/forwarding/opening_queue.cc
@@ -117,6 +117,19 @@
   return std::exchange(waiting_, {});
 }
 
+void OpeningQueue::Remove(const FlowId& flow) {
+  const auto found =
+      std::find_if(waiting_.begin(), waiting_.end(),
+                   [&flow](const WaitingOpening& o) { return o.flow == flow; });
+  if (found == waiting_.end())
+    return;
+  if (static_cast<size_t>(found - waiting_.begin()) < in_time_)
+    --in_time_;
+  waiting_.erase(found);
+  if (waiting_.empty())
+    late_share_ = 1.0;
+}
+
 bool OpeningQueue::Contains(const FlowId& flow) const {
   return std::any_of(
       waiting_.begin(), waiting_.end(),
--- a/unittests/flow_proof/agent_proof_test.cc
+++ b/unittests/flow_proof/agent_proof_test.cc
@@ -25,6 +25,10 @@
   CPPUNIT_TEST(GrantWithAnotherSequenceStartsANewFlow);
   CPPUNIT_TEST(LongAnswerDoesNotMoveTheFlowOutOfItsSequences);
   CPPUNIT_TEST(TargetOlderThanItsAgentIsNotSeenFromItsStart);
+  CPPUNIT_TEST(LateGrantIsAdopted);
+  CPPUNIT_TEST(OpeningOfAFlowOpenElsewhereLeavesTheQueue);
+  CPPUNIT_TEST(RetransmissionOfALateGrantedFlowLeavesTheQueue);
+  CPPUNIT_TEST(PacketOfAnEarlierFlowKeepsTheWaitingOpening);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -252,6 +256,81 @@
     CPPUNIT_ASSERT(actions_.to_entries.empty());
   }
 
+  // Guards against an agent that denies a flow whose opening packet its target
+  // granted later than the timeout.
+  void LateGrantIsAdopted() {
+    Start();
+    const FlowPackets flow;
+    Open(flow);
+    Pass(absl::Milliseconds(85));
+    agent_.Tick(now_, actions_);
+    CPPUNIT_ASSERT(ReturnedToEntry().reason ==
+                   ReturnReason::kTargetUnresponsive);
+    agent_.OnTargetPacket(flow.Grant(), kPacketBytes, now_, actions_);
+    ExpectHeld(flow);
+  }
+
+  // Guards against a refusal of a flow that a retransmission of its opening
+  // packet has opened at another target.
+  void OpeningOfAFlowOpenElsewhereLeavesTheQueue() {
+    Start();
+    for (uint16_t port = 1; port <= 5; ++port)
+      Open(FlowPackets(port));
+    uint16_t port = 4;
+    for (const ForwardMode mode :
+         {ForwardMode::kSearch, ForwardMode::kEstablished}) {
+      const uint32_t waiting = agent_.admission().waiting;
+      actions_.Clear();
+      agent_.OnForwarded(Forward(mode),
+                         FlowPackets(port++).Request(kOtherGrant), kEntry, now_,
+                         actions_);
+      CPPUNIT_ASSERT_EQUAL(waiting - 1, agent_.admission().waiting);
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_entries.size());
+      CPPUNIT_ASSERT(ReturnedToEntry().reason == ReturnReason::kNotHeld);
+      CPPUNIT_ASSERT(ReturnedToEntry().mode == mode);
+    }
+  }
+
+  // The target grants a flow after its timeout, while a retransmission of the
+  // opening packet waits. Guards against a refusal of the flow.
+  void RetransmissionOfALateGrantedFlowLeavesTheQueue() {
+    Start();
+    const FlowPackets flow;
+    Open(flow);
+    Pass(absl::Milliseconds(85));
+    agent_.Tick(now_, actions_);
+    Report(2);
+    for (uint16_t port = 1; port <= 3; ++port)
+      OpenUntilRequest(FlowPackets(port));
+    PacketHeader copy = flow.Opening(1);
+    copy.sequence = kClientSequence - 1;
+    agent_.OnForwarded(Forward(ForwardMode::kOpening), copy, kEntry, now_,
+                       actions_);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, agent_.admission().waiting);
+    agent_.OnTargetPacket(flow.Grant(), kPacketBytes, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, agent_.admission().waiting);
+    Pass(absl::Milliseconds(1200));
+    agent_.Tick(now_, actions_);
+    CPPUNIT_ASSERT(actions_.to_entries.empty());
+    ExpectHeld(flow);
+  }
+
+  // Guards against a waiting client that is dropped because of a late packet
+  // of its earlier flow with the same ports.
+  void PacketOfAnEarlierFlowKeepsTheWaitingOpening() {
+    Start();
+    for (uint16_t port = 1; port <= 3; ++port)
+      OpenUntilRequest(FlowPackets(port));
+    PacketHeader opening = FlowPackets(1).Opening();
+    opening.sequence = kOtherClientSequence;
+    agent_.OnForwarded(Forward(ForwardMode::kOpening), opening, kEntry, now_,
+                       actions_);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, agent_.admission().waiting);
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                       FlowPackets(1).Request(), kEntry, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, agent_.admission().waiting);
+  }
+
  private:
   /// The first report of a target that started after its agent.
   void Start() { ReportFirst(now_); }
