Ask the target about flows that its agent had no room to track

What callers saw: with 32,768 flows tracked, an agent forwarded the packets of further flows to their clients, but denied these flows in a search. The entry then reset them.

Cause: an agent that has seen its target from its start was taken to know all its flows, also after it could not add one.

Evidence, on: agent_proof_test.cc:348 AgentThatCouldNotTrackAFlowAsksItsTarget packets to the target: expected 1, actual 0

Fix: after a packet of a flow that found no room, packets of unknown flows go to the target for 70 s, the time after which idle flows are removed, and their return is the proof. Found by reading; no run has reached the limit.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -162,6 +162,8 @@
                      Endpoint entry,
                      absl::Time now,
                      AgentActions& actions);
+  /// Whether the target is known not to hold a flow without state here.
+  bool IsUnknownFlowDenied(const FlowId& id, absl::Time now) const;
   void RecordTargetPacket(const FlowId& id,
                           AgentFlows::Flow& flow,
                           const PacketHeader& header,
@@ -197,6 +199,8 @@
   /// deque, because actions point to the bytes of its elements.
   std::deque<WaitingOpening> served_;
   AgentFlows flows_;
+  /// Until this time the target may hold flows that found no room in `flows_`.
+  absl::Time untracked_until_ = absl::InfinitePast();
   /// Flows that the target does not hold, with the time at which it returned a
   /// packet of them.
   absl::flat_hash_map<FlowId, absl::Time> not_held_;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -26,6 +26,9 @@
 constexpr absl::Duration kMaxRequestTimeout = absl::Milliseconds(50);
 /// Time for which a flow that the target returned counts as not held.
 constexpr absl::Duration kNotHeldLifetime = absl::Seconds(10);
+/// Time for which a flow without state may be open at the target: longer than
+/// the deployments keep a flow without packets.
+constexpr absl::Duration kUntrackedLifetime = absl::Seconds(70);
 /// Time between two checks of the queue for clients that give up.
 constexpr absl::Duration kQueueCheckInterval = absl::Milliseconds(20);
 
@@ -227,12 +230,7 @@
   if (flow == nullptr || other)
     queue_.Remove(id);
   if (flow == nullptr) {
-    const auto denied = not_held_.find(id);
-    const bool not_held =
-        target_.seen_from_start() ||
-        target_.state(now) == InstanceState::kDown ||
-        (denied != not_held_.end() && now - denied->second < kNotHeldLifetime);
-    if (not_held)
+    if (IsUnknownFlowDenied(id, now))
       ReturnToEntry(delivery, ReturnReason::kNotHeld, forwarded.packet, now,
                     actions);
     else
@@ -254,6 +252,16 @@
   ServeQueue(now, actions);
 }
 
+bool AgentForwarder::IsUnknownFlowDenied(const FlowId& id,
+                                         absl::Time now) const {
+  const auto returned = not_held_.find(id);
+  if (returned != not_held_.end() && now - returned->second < kNotHeldLifetime)
+    return true;
+  if (target_.state(now) == InstanceState::kDown)
+    return true;
+  return target_.seen_from_start() && now >= untracked_until_;
+}
+
 void AgentForwarder::OnTargetPacket(const PacketHeader& header,
                                     absl::Span<const uint8_t> packet,
                                     absl::Time now,
@@ -268,7 +276,10 @@
   AgentFlows::Flow* flow = flows_.Find(id);
   if (flow != nullptr) {
     RecordTargetPacket(id, *flow, header, now, actions);
-  } else if (!flows_.is_full() && !header.reset) {
+  } else if (flows_.is_full()) {
+    untracked_until_ = now + kUntrackedLifetime;
+    not_held_.erase(id);
+  } else if (!header.reset) {
     flows_.Adopt(id, header, now);
     not_held_.erase(id);
     // A waiting retransmission must not refuse the flow.
--- a/unittests/flow_proof/agent_proof_test.cc
+++ b/unittests/flow_proof/agent_proof_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(OpeningOfAFlowOpenElsewhereLeavesTheQueue);
   CPPUNIT_TEST(RetransmissionOfALateGrantedFlowLeavesTheQueue);
   CPPUNIT_TEST(PacketOfAnEarlierFlowKeepsTheWaitingOpening);
+  CPPUNIT_TEST(AgentThatCouldNotTrackAFlowAsksItsTarget);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -331,6 +332,25 @@
     CPPUNIT_ASSERT_EQUAL(uint32_t{1}, agent_.admission().waiting);
   }
 
+  // The target sends packets of more flows than the agent can track. Guards
+  // against an agent that denies those flows.
+  void AgentThatCouldNotTrackAFlowAsksItsTarget() {
+    Start();
+    constexpr uint16_t kTrackedFlows = 32'768;
+    for (uint16_t port = 1; port <= kTrackedFlows; ++port) {
+      agent_.OnTargetPacket(FlowPackets(port).Answer(false), kPacketBytes, now_,
+                            actions_);
+      actions_.Clear();
+    }
+    const FlowPackets untracked(kTrackedFlows + 1);
+    agent_.OnTargetPacket(untracked.Grant(), kPacketBytes, now_, actions_);
+    actions_.Clear();
+    agent_.OnForwarded(Forward(ForwardMode::kSearch), untracked.Request(),
+                       kEntry, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_target.size());
+    CPPUNIT_ASSERT(actions_.to_entries.empty());
+  }
+
  private:
   /// The first report of a target that started after its agent.
   void Start() { ReportFirst(now_); }
