Ignore a late leave message of an earlier incarnation

What callers saw: a target left and started again under its id. Its agent handled the leave message after the first report of the new incarnation, refused new flows, denied unknown ones as proof for a reset, and ignored all further reports until the target's next start.

Cause: a leave message was matched by id only.

Evidence, on: agent_proof_test.cc:359 LateLeaveOfAnEarlierIncarnationIsIgnored !agent_.OnTargetLeft("i-1")

Fix: the message carries the start of its incarnation, as reports do, and is ignored if that is earlier than the known one. A body without a valid `born` is matched by id as before.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -87,7 +87,7 @@
   TargetChange OnTargetReport(const TargetReport& report,
                               absl::Time now,
                               AgentActions& actions);
-  bool OnTargetLeft(absl::string_view id);
+  bool OnTargetLeft(absl::string_view id, int64_t started_unix_ms);
   /// A health check succeeded. Replaces the target's report until the first one
   /// arrives.
   void OnTargetHealthy(uint32_t slots);
--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -30,8 +30,9 @@
 
   TargetChange OnReport(const TargetReport& report, absl::Time now);
   /// Records that the target has reported its end. Ignores the message and
-  /// returns false if `id` is that of another target.
-  bool OnLeave(absl::string_view id);
+  /// returns false if it is from another target or an earlier incarnation.
+  /// `started_unix_ms` is 0 if the message does not contain it.
+  bool OnLeave(absl::string_view id, int64_t started_unix_ms);
   /// Records a successful health check. Ignored once a report has arrived.
   void OnHealthy(uint32_t slots);
   /// Records that the target did not answer an opening packet in time.
--- a/include/skylarkshunt/node/node_options.h
+++ b/include/skylarkshunt/node/node_options.h
@@ -63,7 +63,10 @@
   /// Returns true once the report is certain to be taken into account, false if
   /// the node cannot take it now.
   std::function<bool(const TargetReport&)> on_target_report;
-  std::function<bool(absl::string_view id)> on_target_left;
+  /// `started_unix_ms` is the start of the incarnation that ends, or 0 if the
+  /// target does not report it.
+  std::function<bool(absl::string_view id, int64_t started_unix_ms)>
+      on_target_left;
 };
 
 /// Converts between the formats of a deployment and the product's types.
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -408,8 +408,9 @@
   return change;
 }
 
-bool AgentForwarder::OnTargetLeft(absl::string_view id) {
-  return target_.OnLeave(id);
+bool AgentForwarder::OnTargetLeft(absl::string_view id,
+                                  int64_t started_unix_ms) {
+  return target_.OnLeave(id, started_unix_ms);
 }
 
 void AgentForwarder::OnTargetHealthy(uint32_t slots) {
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -101,7 +101,8 @@
         loop.nodes_.MakeAllDue();
     }
     void operator()(const TargetLeft& left) const {
-      const bool known = loop.forwarder_.OnTargetLeft(left.id);
+      const bool known =
+          loop.forwarder_.OnTargetLeft(left.id, left.started_unix_ms);
       LogLine(kTargetLeft)
           .Field("target", left.id)
           .Field("known", known ? "true" : "false");
--- a/lib/node/data_command.h
+++ b/lib/node/data_command.h
@@ -22,6 +22,8 @@
 
 struct TargetLeft {
   std::string id;
+  /// Start of the incarnation that ended, as in TargetReport.
+  int64_t started_unix_ms = 0;
 };
 
 /// Result of a check of the target.
--- a/lib/node/node_process.cc
+++ b/lib/node/node_process.cc
@@ -93,8 +93,8 @@
     hooks.on_target_report = [this](const TargetReport& report) {
       return loop_->Command(report);
     };
-    hooks.on_target_left = [this](absl::string_view id) {
-      return loop_->Command(TargetLeft{std::string(id)});
+    hooks.on_target_left = [this](absl::string_view id, int64_t started) {
+      return loop_->Command(TargetLeft{std::string(id), started});
     };
     HttpServer::Options http;
     if (options.node.readiness.port != 0) {
--- a/unittests/flow_proof/agent_proof_test.cc
+++ b/unittests/flow_proof/agent_proof_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(RetransmissionOfALateGrantedFlowLeavesTheQueue);
   CPPUNIT_TEST(PacketOfAnEarlierFlowKeepsTheWaitingOpening);
   CPPUNIT_TEST(AgentThatCouldNotTrackAFlowAsksItsTarget);
+  CPPUNIT_TEST(LateLeaveOfAnEarlierIncarnationIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -351,6 +352,18 @@
     CPPUNIT_ASSERT(actions_.to_entries.empty());
   }
 
+  // A target that left starts again under its id, and its leave message is
+  // handled after the first report. Guards against an agent that denies the
+  // flows of a running target and ignores its further reports.
+  void LateLeaveOfAnEarlierIncarnationIsIgnored() {
+    agent_.OnTargetReport(MakeReport(40, 1000), now_, actions_);
+    agent_.OnTargetReport(MakeReport(1, 2000), now_, actions_);
+    CPPUNIT_ASSERT(!agent_.OnTargetLeft("i-1", 1000));
+    CPPUNIT_ASSERT(agent_.load(now_).accepts_flows());
+    CPPUNIT_ASSERT(agent_.OnTargetLeft("i-1", 2000));
+    CPPUNIT_ASSERT(agent_.is_target_gone(now_));
+  }
+
  private:
   /// The first report of a target that started after its agent.
   void Start() { ReportFirst(now_); }
--- a/unittests/forwarding/target_state_test.cc
+++ b/unittests/forwarding/target_state_test.cc
@@ -71,9 +71,9 @@
 
   void LeaveOfAnotherTargetIsIgnored() {
     target_.OnReport(Report("i-2", 2000, 1), kStart);
-    CPPUNIT_ASSERT(!target_.OnLeave("i-1"));
+    CPPUNIT_ASSERT(!target_.OnLeave("i-1", 0));
     CPPUNIT_ASSERT(target_.state(kStart) == InstanceState::kServing);
-    CPPUNIT_ASSERT(target_.OnLeave("i-2"));
+    CPPUNIT_ASSERT(target_.OnLeave("i-2", 2000));
     CPPUNIT_ASSERT(target_.state(kStart) == InstanceState::kDown);
     // Its last report may arrive after it has reported its end.
     target_.OnReport(Report("i-2", 2000, 2), kStart);
--- a/unittests/platform_adapter/platform_adapter_test.cc
+++ b/unittests/platform_adapter/platform_adapter_test.cc
@@ -198,6 +198,7 @@
     std::string reported;
     absl::Time started;
     std::string left;
+    int64_t left_started = -1;
     NodeHooks hooks;
     hooks.is_ready = [&] { return ready; };
     hooks.on_target_report = [&](const TargetReport& report) {
@@ -205,8 +206,9 @@
       started = report.started;
       return true;
     };
-    hooks.on_target_left = [&](absl::string_view id) {
+    hooks.on_target_left = [&](absl::string_view id, int64_t started_unix_ms) {
       left = std::string(id);
+      left_started = started_unix_ms;
       return true;
     };
     const HttpServer::Handler readiness = MakeReadinessHandler(hooks);
@@ -230,6 +232,14 @@
     CPPUNIT_ASSERT_EQUAL(400, reports({"POST", path, "{}"}).status);
     reports({"POST", "/skylarkshunt/Instances.Leave/i-2", ""});
     CPPUNIT_ASSERT_EQUAL(std::string("i-2"), left);
+    for (const char* body :
+         {"", "[]", "7", "{\"born\":\"7\"}", "{\"born\":-7}"}) {
+      left_started = -1;
+      reports({"POST", "/skylarkshunt/Instances.Leave/i-2", body});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(body, int64_t{0}, left_started);
+    }
+    reports({"POST", "/skylarkshunt/Instances.Leave/i-2", "{\"born\":7}"});
+    CPPUNIT_ASSERT_EQUAL(int64_t{7}, left_started);
   }
 
   void SettingsAreRead() {
