--- a/include/skylarkshunt/forwarding/agent_flows.h
+++ b/include/skylarkshunt/forwarding/agent_flows.h
@@ -1,7 +1,9 @@
 #ifndef SKYLARKSHUNT_FORWARDING_AGENT_FLOWS_H_
 #define SKYLARKSHUNT_FORWARDING_AGENT_FLOWS_H_
 
+#include <algorithm>
 #include <cstdint>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -39,6 +41,14 @@
     /// The request timed out and has been counted as failed.
     bool timed_out = false;
     uint32_t target_sequence = 0;
+    /// Sequence numbers that the target has used on this flow: from the grant,
+    /// or a bound below the first packet seen, up to the byte after the last.
+    bool target_range_known = false;
+    uint32_t target_range_begin = 0;
+    uint32_t target_range_end = 0;
+    /// Sequence number of the opening packet.
+    uint32_t client_sequence = 0;
+    bool client_sequence_known = false;
     /// Sequence number of the client's next byte, which starts a new request.
     uint32_t client_next = 0;
     bool client_next_known = false;
@@ -50,6 +60,8 @@
     uint32_t answer_end = 0;
     uint32_t busy_before = 0;
     absl::Time opened;
+    /// Last packet of the target.
+    absl::Time answered;
     absl::Time requested;
     absl::Time used;
   };
@@ -61,14 +73,24 @@
   /// packets.
   bool is_full() const;
 
-  /// Adds a flow whose opening packet goes to the target. Its expected request
-  /// counts as load from now on.
-  void Open(const FlowId& id, Endpoint entry, RequestKind kind, absl::Time now);
+  /// Adds a flow whose opening packet with the given sequence number goes to
+  /// the target, and removes an earlier one with the same id. Its expected
+  /// request counts as load from now on.
+  void Open(const FlowId& id,
+            Endpoint entry,
+            RequestKind kind,
+            uint32_t sequence,
+            absl::Time now);
+  /// Whether an opening packet with the given sequence number is the one that
+  /// opened the known flow `id`. Otherwise it opens a later flow with the same
+  /// addresses and ports.
+  bool IsOpenedBy(const FlowId& id, uint32_t sequence) const;
   /// Adds the unknown flow of a packet from the target. The flow was opened
   /// before this agent started, or its state was erased because the client
   /// accepted the grant of another target.
   void Adopt(const FlowId& id, const PacketHeader& header, absl::Time now);
-  /// Records that the target granted the flow.
+  /// Records that the target granted the flow. A grant outside the sequence
+  /// numbers of an open flow is for a later flow with the same ports.
   void RecordGrant(Flow& flow, const PacketHeader& header, absl::Time now);
   void RecordClientPacket(Flow& flow,
                           const PacketHeader& header,
@@ -85,16 +107,31 @@
   /// client has not sent it.
   void StopAwaitingRequest(const FlowId& id);
   void Erase(const FlowId& id);
-  void Clear();
+  /// Removes the flows that have neither been opened nor got a packet from the
+  /// target since `since`. Calls `removed` with the id and state of each.
+  template <typename Visitor>
+  void EraseOlder(absl::Time since, const Visitor& removed) {
+    std::vector<FlowId> older;
+    for (const auto& [id, flow] : flows_) {
+      if (std::max(flow.opened, flow.answered) >= since)
+        continue;
+      removed(id, flow);
+      older.push_back(id);
+    }
+    for (const FlowId& id : older)
+      Erase(id);
+  }
   /// Resets the service time and the outcomes of a target that restarted.
   void ResetTargetModels();
   /// Removes expired flows and counts requests that timed out. Call it a few
   /// times per second.
   void Sweep(absl::Time now);
 
-  /// Whether the client's packet acknowledges the grant of another target.
-  static bool AcknowledgesOtherGrant(const Flow& flow,
-                                     const PacketHeader& header);
+  /// Whether the client's packet acknowledges sequence numbers that this target
+  /// has not used on the flow. The client accepted the grant of another target,
+  /// or `flow` is an earlier flow with the same addresses and ports.
+  static bool AcknowledgesOtherTarget(const Flow& flow,
+                                      const PacketHeader& header);
 
   /// Requests that run or are expected at the target.
   uint32_t busy() const { return busy_; }
@@ -110,16 +147,11 @@
     return outcomes_.failing_permille(now);
   }
 
-  /// Calls `visit` with the id and state of each flow.
-  template <typename Visitor>
-  void ForEach(const Visitor& visit) const {
-    for (const auto& [id, flow] : flows_)
-      visit(id, flow);
-  }
-
  private:
   void SetBusy(Flow& flow, bool busy);
   void SetEnded(Flow& flow);
+  /// Adds the packet of the target to its sequence numbers on the flow.
+  static void ExtendTargetRange(Flow& flow, const PacketHeader& header);
   /// Records the outcome of a request whose answer has ended.
   void RecordAnswerEnd(const FlowId& id, const Flow& flow, absl::Time now);
   /// Updates the service time from a request without an answer, and counts the
--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -60,7 +60,7 @@
 /// Why an agent reports that it does not hold a flow.
 enum class NotHeldEvidence : uint8_t {
   kSeenFromStart = 0,   ///< It knows all flows of the target's incarnation.
-  kTargetDown = 1,      ///< The target is unknown or has ended.
+  kTargetDown = 1,      ///< The target is absent or has ended.
   kTargetReturned = 2,  ///< The target returned a packet of the flow.
   kOtherGrant = 3,      ///< The client accepted the grant of another target.
 };
@@ -96,12 +96,14 @@
   TargetChange OnTargetReport(const TargetReport& report,
                               absl::Time now,
                               AgentActions& actions);
-  bool OnTargetLeft(absl::string_view id);
+  bool OnTargetLeft(absl::string_view id, int64_t started_unix_ms);
   /// A health check succeeded. Replaces the target's report until the first one
   /// arrives.
   void OnTargetHealthy(uint32_t slots);
-  /// A connection to the target was refused: its process has ended.
-  void OnTargetCrashed(absl::Time now, AgentActions& actions);
+  /// A connection to the target was refused in a check that began at `began`:
+  /// the process that ran until then has ended. The target may have restarted
+  /// since. Precondition: `began` <= `now`.
+  void OnTargetCrashed(absl::Time began, absl::Time now, AgentActions& actions);
   /// Handles timeouts. Call it at next_deadline() or before.
   void Tick(absl::Time now, AgentActions& actions);
   /// Returns the time by which Tick() must be called next.
@@ -111,7 +113,7 @@
   void BeginShutdown();
   /// Whether no request is running or waiting for a slot.
   bool is_idle() const;
-  /// Whether the target has ended or is unknown.
+  /// Whether the target has ended or is absent.
   bool is_target_gone(absl::Time now) const;
 
   AgentLoad load(absl::Time now) const;
@@ -197,11 +199,14 @@
                      absl::Span<const uint8_t> packet,
                      absl::Time now,
                      AgentActions& actions);
-  /// Returns why an unknown flow is not held; no value if only the target can
-  /// tell.
+  /// Returns why the target does not hold a flow without state here; no value
+  /// if only the target can tell.
   absl::optional<NotHeldEvidence> EvidenceAgainst(const FlowId& flow,
                                                   absl::Time now) const;
-  void ResetFlows(absl::string_view reason,
+  /// Resets and removes the flows that an earlier incarnation of the target
+  /// held: those without a packet of the target since `since`.
+  void ResetFlows(absl::Time since,
+                  absl::string_view reason,
                   absl::Time now,
                   AgentActions& actions);
   /// Resets one flow at its client.
@@ -222,6 +227,8 @@
   /// deque, because actions point to the bytes of its elements.
   std::deque<WaitingOpening> served_;
   AgentFlows flows_;
+  /// Until this time the target may hold flows that found no room in `flows_`.
+  absl::Time untracked_until_ = absl::InfinitePast();
   /// Flows that the target does not hold, with the time at which it returned a
   /// packet of them.
   absl::flat_hash_map<FlowId, absl::Time> not_held_;
--- a/include/skylarkshunt/forwarding/decision.h
+++ b/include/skylarkshunt/forwarding/decision.h
@@ -41,7 +41,7 @@
 /// kFlowReset at an entry: the search that found no agent with the flow.
 struct SearchEvidence {
   /// Agents that were queried, and agents of the route's services that the
-  /// entry knows. Agents whose target is down are known but not queried.
+  /// entry knows.
   uint32_t queried = 0;
   uint32_t known = 0;
   absl::Duration uptime;
--- a/include/skylarkshunt/forwarding/opening_queue.h
+++ b/include/skylarkshunt/forwarding/opening_queue.h
@@ -19,6 +19,8 @@
   FlowId flow;
   Endpoint entry;
   RequestKind kind = RequestKind::kNonIdempotent;
+  /// The client's first sequence number.
+  uint32_t sequence = 0;
   /// 0 is the most urgent.
   uint8_t priority = 0;
   /// An answer after this time has much less value for the client.
@@ -84,6 +86,9 @@
   /// Removes and returns all packets.
   std::vector<WaitingOpening> TakeAll();
 
+  /// Removes the packet of the flow, if any.
+  void Remove(const FlowId& flow);
+
   bool Contains(const FlowId& flow) const;
   bool empty() const { return waiting_.empty(); }
   size_t size() const { return waiting_.size(); }
--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -24,19 +24,23 @@
 /// thread-safe.
 class TargetState {
  public:
-  /// `service` is the name of the service in the agent's settings, and
-  /// `interval` is the time between two reports.
-  TargetState(std::string service, absl::Duration interval);
+  /// `service` is the name of the service in the agent's settings, `interval`
+  /// is the time between two reports, and `started` is the start of the agent.
+  TargetState(std::string service, absl::Duration interval, absl::Time started);
 
   TargetChange OnReport(const TargetReport& report, absl::Time now);
   /// Records that the target has reported its end. Ignores the message and
-  /// returns false if `id` is that of another target.
-  bool OnLeave(absl::string_view id);
+  /// returns false if it is from another target or an earlier incarnation.
+  /// `started_unix_ms` is 0 if the message does not contain it.
+  bool OnLeave(absl::string_view id, int64_t started_unix_ms);
   /// Records a successful health check. Ignored once a report has arrived.
   void OnHealthy(uint32_t slots);
-  /// Records that the target did not answer an opening packet in time, or that
-  /// its process has ended.
+  /// Records that the target did not answer an opening packet in time.
   void OnUnresponsive();
+  /// Records that the target's address refused a connection in a check that
+  /// began at `began`. Ignored if the target has sent a packet or a report
+  /// since.
+  void OnConnectionRefused(absl::Time began);
   /// Records that the target returned an opening packet. Returns whether the
   /// target now counts as unresponsive: the address of a crashed target returns
   /// every packet at once, and the target would otherwise look like the least
@@ -44,28 +48,42 @@
   bool OnRefused();
   /// Records that the target answered a packet or a health check.
   void OnResponse();
+  /// Records that the target sent a packet.
+  void OnPacket(absl::Time now);
 
-  /// Returns kServing, kEjected (unresponsive), kDraining or kDown (unknown or
-  /// ended).
+  /// Returns kServing, kEjected (unresponsive or not known yet), kDraining or
+  /// kDown (absent or ended). kDown is proof that no flow is open at the
+  /// target.
   InstanceState state(absl::Time now) const;
+  /// Whether a report or a health check has shown that the target runs.
+  bool is_known() const { return known_; }
   uint32_t slots() const { return slots_; }
   const std::string& id() const { return id_; }
-  /// Whether the agent has seen this incarnation since its first report, and
-  /// therefore knows all its flows.
+  /// Earliest possible start of the incarnation that the last report made known
+  /// as a restart. Packets that the target sent before belong to an earlier
+  /// one.
+  absl::Time restarted_after() const { return restarted_after_; }
+  /// Whether this incarnation started after the agent. All its flows then
+  /// passed through this process of the agent, which knows them.
   bool seen_from_start() const { return seen_from_start_; }
 
  private:
   const std::string service_;
   const absl::Duration interval_;
+  const absl::Time started_;
   std::string id_;
   int64_t started_unix_ms_ = 0;
   uint64_t sequence_ = 0;
   uint32_t slots_ = 0;
+  /// Last report and last packet.
   absl::Time last_seen_ = absl::InfinitePast();
+  absl::Time last_packet_ = absl::InfinitePast();
+  absl::Time restarted_after_ = absl::InfinitePast();
   bool known_ = false;
   bool reported_ = false;
   bool draining_ = false;
   bool left_ = false;
+  bool connection_refused_ = false;
   bool unresponsive_ = false;
   /// Opening packets returned since the target last answered.
   int refusals_ = 0;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -26,6 +26,9 @@
 constexpr absl::Duration kMaxRequestTimeout = absl::Milliseconds(50);
 /// Time for which a flow that the target returned counts as not held.
 constexpr absl::Duration kNotHeldLifetime = absl::Seconds(10);
+/// Time for which a flow without state may be open at the target: longer than
+/// the deployments keep a flow without packets.
+constexpr absl::Duration kUntrackedLifetime = absl::Seconds(70);
 /// Time between two checks of the queue for clients that give up.
 constexpr absl::Duration kQueueCheckInterval = absl::Milliseconds(20);
 
@@ -42,7 +45,7 @@
 
 AgentForwarder::AgentForwarder(Options options, absl::Time now)
     : options_(std::move(options)),
-      target_(options_.service, options_.report_interval),
+      target_(options_.service, options_.report_interval, now),
       deliveries_(kMaxDeliveries),
       overload_(now),
       next_sweep_(now + kSweepInterval) {}
@@ -69,7 +72,7 @@
   delivery.entry = entry;
   delivery.mode = ForwardMode::kOpening;
   delivery.declined = forwarded.declined;
-  if (flows_.Contains(delivery.flow)) {
+  if (flows_.IsOpenedBy(delivery.flow, header.sequence)) {
     // A retransmission: the target answers it like the first packet.
     Deliver(std::move(delivery), forwarded.packet, actions);
     ReportPlaced(header.flow_from_client(), entry, now, actions);
@@ -99,6 +102,7 @@
   opening.flow = delivery.flow;
   opening.entry = entry;
   opening.kind = forwarded.kind;
+  opening.sequence = header.sequence;
   opening.priority = forwarded.priority;
   opening.opened = now - header.opening_age;
   opening.objective =
@@ -114,7 +118,8 @@
     ReturnWaiting(*std::move(dropped), ReturnReason::kQueueFull, now, actions);
   ServeQueue(now, actions);
   RefuseUnservable(now, actions);
-  if (queue_.Contains(delivery.flow) || flows_.Contains(delivery.flow))
+  if (queue_.Contains(delivery.flow) ||
+      flows_.IsOpenedBy(delivery.flow, header.sequence))
     ReportPlaced(delivery.flow, entry, now, actions);
 }
 
@@ -156,7 +161,16 @@
                                   absl::Time now,
                                   AgentActions& actions) {
   not_held_.erase(opening.flow);
-  flows_.Open(opening.flow, opening.entry, opening.kind, now);
+  if (flows_.IsOpenedBy(opening.flow, opening.sequence)) {
+    // The target granted an earlier transmission after its timeout.
+    Delivery retransmission;
+    retransmission.flow = opening.flow;
+    retransmission.entry = opening.entry;
+    retransmission.declined = opening.declined;
+    Deliver(std::move(retransmission), opening.packet, actions);
+    return;
+  }
+  flows_.Open(opening.flow, opening.entry, opening.kind, opening.sequence, now);
   Decision decision =
       MakeDecision(DecisionKind::kAccepted, opening.flow, "slot");
   decision.time = opening.client_deadline - now;
@@ -209,6 +223,12 @@
   delivery.entry = entry;
   delivery.mode = forwarded.mode;
   AgentFlows::Flow* flow = flows_.Find(id);
+  const bool other =
+      flow != nullptr && AgentFlows::AcknowledgesOtherTarget(*flow, header);
+  // The flow is open at another target. Returning its waiting opening packet
+  // would refuse the client.
+  if (flow == nullptr || other)
+    queue_.Remove(id);
   if (flow == nullptr) {
     const absl::optional<NotHeldEvidence> evidence = EvidenceAgainst(id, now);
     if (evidence.has_value())
@@ -217,9 +237,9 @@
       Deliver(std::move(delivery), forwarded.packet, actions);
     return;
   }
-  if (AgentFlows::AcknowledgesOtherGrant(*flow, header)) {
-    // The client accepted the grant of another target.
-    flows_.Erase(id);
+  if (other) {
+    if (!flow->confirmed)
+      flows_.Erase(id);
     ReturnNotHeld(delivery, NotHeldEvidence::kOtherGrant, forwarded.packet, now,
                   actions);
     return;
@@ -241,14 +261,20 @@
     OnReturnedByTarget(header, packet, now, actions);
     return;
   }
-  target_.OnResponse();
+  target_.OnPacket(now);
   const FlowId id = header.flow_to_client();
   AgentFlows::Flow* flow = flows_.Find(id);
   if (flow != nullptr) {
     RecordTargetPacket(id, *flow, header, now, actions);
-  } else if (!flows_.is_full() && !header.reset) {
+  } else if (flows_.is_full()) {
+    untracked_until_ = now + kUntrackedLifetime;
+    not_held_.erase(id);
+  } else if (!header.reset) {
     flows_.Adopt(id, header, now);
     not_held_.erase(id);
+    // A waiting retransmission must not refuse the flow.
+    if (header.opening)
+      queue_.Remove(id);
   }
   actions.to_clients.push_back({header.destination.address, packet});
   ServeQueue(now, actions);
@@ -301,7 +327,9 @@
     ServeQueue(now, actions);
     return;
   }
-  const bool lost = flow != nullptr &&
+  const bool other =
+      flow != nullptr && AgentFlows::AcknowledgesOtherTarget(*flow, header);
+  const bool lost = flow != nullptr && !other &&
                     flow->phase == AgentFlows::Phase::kOpen && flow->confirmed;
   if (lost) {
     // The flow was open at this target, which has lost it: the target has
@@ -315,9 +343,13 @@
     flows_.Erase(id);
     return;
   }
-  flows_.Erase(id);
-  if (not_held_.size() < kMaxNotHeld)
-    not_held_[id] = now;
+  // The packet may belong to a later flow while the target still holds this
+  // one.
+  if (!other || !flow->confirmed) {
+    flows_.Erase(id);
+    if (not_held_.size() < kMaxNotHeld)
+      not_held_[id] = now;
+  }
   ReturnNotHeld(delivery, NotHeldEvidence::kTargetReturned, packet, now,
                 actions);
 }
@@ -325,7 +357,7 @@
 absl::optional<NotHeldEvidence> AgentForwarder::EvidenceAgainst(
     const FlowId& flow,
     absl::Time now) const {
-  if (target_.seen_from_start())
+  if (target_.seen_from_start() && now >= untracked_until_)
     return NotHeldEvidence::kSeenFromStart;
   if (target_.state(now) == InstanceState::kDown)
     return NotHeldEvidence::kTargetDown;
@@ -381,15 +413,16 @@
   served_.clear();
   const TargetChange change = target_.OnReport(report, now);
   if (change == TargetChange::kRestarted) {
-    ResetFlows("target_started_again", now, actions);
+    ResetFlows(target_.restarted_after(), "target_started_again", now, actions);
     flows_.ResetTargetModels();
   }
   ServeQueue(now, actions);
   return change;
 }
 
-bool AgentForwarder::OnTargetLeft(absl::string_view id) {
-  return target_.OnLeave(id);
+bool AgentForwarder::OnTargetLeft(absl::string_view id,
+                                  int64_t started_unix_ms) {
+  return target_.OnLeave(id, started_unix_ms);
 }
 
 void AgentForwarder::OnTargetHealthy(uint32_t slots) {
@@ -397,22 +430,34 @@
   target_.OnResponse();
 }
 
-void AgentForwarder::OnTargetCrashed(absl::Time now, AgentActions& actions) {
-  target_.OnUnresponsive();
-  ResetFlows("target_crashed", now, actions);
+void AgentForwarder::OnTargetCrashed(absl::Time began,
+                                     absl::Time now,
+                                     AgentActions& actions) {
+  target_.OnConnectionRefused(began);
+  ResetFlows(began, "target_crashed", now, actions);
 }
 
-void AgentForwarder::ResetFlows(absl::string_view reason,
+void AgentForwarder::ResetFlows(absl::Time since,
+                                absl::string_view reason,
                                 absl::Time now,
                                 AgentActions& actions) {
-  flows_.ForEach([&](const FlowId& id, const AgentFlows::Flow& flow) {
+  const auto reset = [&](const FlowId& id, const AgentFlows::Flow& flow) {
     if (flow.phase != AgentFlows::Phase::kOpen || !flow.confirmed)
       return;
     ResetFlow(id, flow, flow.client_expects, reason, now, actions);
-  });
-  flows_.Clear();
-  unanswered_.clear();
-  granted_.clear();
+  };
+  flows_.EraseOlder(since, reset);
+  const auto is_removed = [this](const FlowId& id) {
+    return !flows_.Contains(id);
+  };
+  unanswered_.erase(
+      std::remove_if(unanswered_.begin(), unanswered_.end(),
+                     [&](const Unanswered& u) { return is_removed(u.flow); }),
+      unanswered_.end());
+  granted_.erase(
+      std::remove_if(granted_.begin(), granted_.end(),
+                     [&](const auto& g) { return is_removed(g.second); }),
+      granted_.end());
 }
 
 void AgentForwarder::ResetFlow(const FlowId& id,
--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -1,5 +1,6 @@
 #include "skylarkshunt/forwarding/target_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace skylarkshunt {
@@ -11,14 +12,15 @@
 /// unresponsive. It gets fewer at a time than it has room for: a single return
 /// may be due to a limit, two are not.
 constexpr int kRefusalsUntilUnresponsive = 2;
-/// Reports up to this sequence number count as the first one. Targets start at
-/// 0 or 1.
-constexpr uint64_t kFirstSequence = 1;
+/// Largest step of the wall clock that a target's start is corrected for.
+constexpr absl::Duration kMaxClockStep = absl::Seconds(4);
 
 }  // namespace
 
-TargetState::TargetState(std::string service, absl::Duration interval)
-    : service_(std::move(service)), interval_(interval) {}
+TargetState::TargetState(std::string service,
+                         absl::Duration interval,
+                         absl::Time started)
+    : service_(std::move(service)), interval_(interval), started_(started) {}
 
 TargetChange TargetState::OnReport(const TargetReport& report, absl::Time now) {
   if (report.service != service_)
@@ -35,7 +37,10 @@
   const bool first = !reported_;
   const bool was_accepting = state(now) == InstanceState::kServing;
   if (first || another)
-    seen_from_start_ = another || report.sequence <= kFirstSequence;
+    seen_from_start_ = another || report.started > started_;
+  // The previous incarnation ran when it sent its last report.
+  if (another)
+    restarted_after_ = std::max(last_seen_, report.started - kMaxClockStep);
   known_ = true;
   reported_ = true;
   left_ = false;
@@ -55,8 +60,10 @@
                                     : TargetChange::kState;
 }
 
-bool TargetState::OnLeave(absl::string_view id) {
-  if (reported_ && id != id_)
+bool TargetState::OnLeave(absl::string_view id, int64_t started_unix_ms) {
+  const bool earlier =
+      started_unix_ms != 0 && started_unix_ms < started_unix_ms_;
+  if (reported_ && (id != id_ || earlier))
     return false;
   left_ = true;
   return true;
@@ -73,6 +80,13 @@
   unresponsive_ = true;
 }
 
+void TargetState::OnConnectionRefused(absl::Time began) {
+  if (last_packet_ >= began || last_seen_ >= began)
+    return;
+  connection_refused_ = true;
+  unresponsive_ = true;
+}
+
 bool TargetState::OnRefused() {
   ++refusals_;
   if (refusals_ >= kRefusalsUntilUnresponsive)
@@ -82,12 +96,25 @@
 
 void TargetState::OnResponse() {
   unresponsive_ = false;
+  connection_refused_ = false;
   refusals_ = 0;
 }
 
+void TargetState::OnPacket(absl::Time now) {
+  last_packet_ = now;
+  OnResponse();
+}
+
 InstanceState TargetState::state(absl::Time now) const {
-  if (!known_ || left_)
+  if (left_)
     return InstanceState::kDown;
+  if (!known_) {
+    // The target may have opened flows through an earlier process of the agent.
+    const bool absent =
+        connection_refused_ ||
+        now - std::max(started_, last_packet_) > kMissedReports * interval_;
+    return absent ? InstanceState::kDown : InstanceState::kEjected;
+  }
   if (draining_)
     return InstanceState::kDraining;
   if (unresponsive_ ||
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -42,6 +42,18 @@
 /// the usual numbers. A target queues requests beyond its slots.
 constexpr uint32_t kAssumedSlots = 4;
 
+absl::string_view OutcomeName(TargetProbe::Outcome outcome) {
+  switch (outcome) {
+    case TargetProbe::Outcome::kHealthy:
+      return "healthy";
+    case TargetProbe::Outcome::kRefused:
+      return "refused";
+    case TargetProbe::Outcome::kUnclear:
+      break;
+  }
+  return "unclear";
+}
+
 class AgentLoop : public NodeLoop {
  public:
   AgentLoop(const Options& options,
@@ -85,7 +97,7 @@
       // A target that kept running while its agent was down reports only after
       // up to a whole interval. Its health check shows at once that it accepts
       // flows.
-      if (first && loop.forwarder_.is_target_gone(now))
+      if (first && !loop.forwarder_.target().is_known())
         loop.options_.notices.on_target_check_needed();
       // Entries that start at the same time fetch the configuration from this
       // agent.
@@ -104,20 +116,18 @@
         loop.nodes_.MakeAllDue();
     }
     void operator()(const TargetLeft& left) const {
-      const bool known = loop.forwarder_.OnTargetLeft(left.id);
+      const bool known =
+          loop.forwarder_.OnTargetLeft(left.id, left.started_unix_ms);
       LogLine(kTargetLeft)
           .Field("target", left.id)
           .Field("known", known ? "true" : "false");
       loop.nodes_.MakeAllDue();
     }
     void operator()(const TargetProbe& probe) const {
-      LogLine(kTargetProbed)
-          .Field("outcome", probe == TargetProbe::kHealthy   ? "healthy"
-                            : probe == TargetProbe::kRefused ? "refused"
-                                                             : "unclear");
-      if (probe == TargetProbe::kRefused)
-        loop.forwarder_.OnTargetCrashed(now, loop.actions_);
-      if (probe == TargetProbe::kHealthy) {
+      LogLine(kTargetProbed).Field("outcome", OutcomeName(probe.outcome));
+      if (probe.outcome == TargetProbe::Outcome::kRefused)
+        loop.forwarder_.OnTargetCrashed(probe.began, now, loop.actions_);
+      if (probe.outcome == TargetProbe::Outcome::kHealthy) {
         loop.forwarder_.OnTargetHealthy(kAssumedSlots);
         loop.nodes_.MakeAllDue();
       }
--- a/lib/node/data_command.h
+++ b/lib/node/data_command.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <variant>
 
+#include "absl/time/time.h"
 #include "skylarkshunt/base/ids.h"
 #include "skylarkshunt/forwarding/messages.h"
 #include "skylarkshunt/forwarding/route_table.h"
@@ -21,10 +22,19 @@
 
 struct TargetLeft {
   std::string id;
+  /// Start of the incarnation that ended, as in TargetReport.
+  int64_t started_unix_ms = 0;
 };
 
-/// Outcome of a check of the target.
-enum class TargetProbe : uint8_t { kHealthy, kRefused, kUnclear };
+/// Result of a check of the target.
+struct TargetProbe {
+  enum class Outcome : uint8_t { kHealthy, kRefused, kUnclear };
+
+  Outcome outcome = Outcome::kUnclear;
+  /// Start of the check on the clock of MonotonicNow(). The target may have
+  /// restarted since.
+  absl::Time began;
+};
 
 struct BeginShutdownCommand {};
 
--- a/lib/node/node_process.cc
+++ b/lib/node/node_process.cc
@@ -81,8 +81,8 @@
       return found == routes->services.end() ? std::string()
                                              : found->second.health_path;
     };
-    prober.on_outcome = [this](TargetProbe outcome) {
-      loop_->Command(outcome);
+    prober.on_outcome = [this](const TargetProbe& probe) {
+      loop_->Command(probe);
     };
     prober_ = std::make_unique<TargetProber>(std::move(prober));
   }
@@ -93,8 +93,8 @@
     hooks.on_target_report = [this](const TargetReport& report) {
       return loop_->Command(report);
     };
-    hooks.on_target_left = [this](absl::string_view id) {
-      return loop_->Command(TargetLeft{std::string(id)});
+    hooks.on_target_left = [this](absl::string_view id, int64_t started) {
+      return loop_->Command(TargetLeft{std::string(id), started});
     };
     HttpServer::Options http;
     if (options.node.readiness.port != 0) {
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -351,6 +351,8 @@
     Start();
     const FlowPackets flow;
     OpenUntilRequest(flow);
+    Pass(absl::Seconds(1));
+    agent_.OnTargetReport(MakeReport(2), now_, actions_);
     CPPUNIT_ASSERT(agent_.OnTargetReport(MakeReport(1, 2000), now_, actions_) ==
                    TargetChange::kRestarted);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
@@ -362,7 +364,8 @@
     Start();
     const FlowPackets flow;
     OpenUntilRequest(flow);
-    agent_.OnTargetCrashed(now_, actions_);
+    Pass(absl::Milliseconds(1));
+    agent_.OnTargetCrashed(now_, now_, actions_);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
     CPPUNIT_ASSERT(!agent_.load(now_).accepts_flows());
   }
@@ -491,7 +494,8 @@
     agent_.OnForwarded(Forward(ForwardMode::kEstablished),
                        other.Request(kOtherGrant), kEntry, now_, actions_);
     actions_.Clear();
-    agent_.OnTargetCrashed(now_, actions_);
+    Pass(absl::Milliseconds(1));
+    agent_.OnTargetCrashed(now_, now_, actions_);
     CPPUNIT_ASSERT(actions_.resets.empty());
   }
 
@@ -501,11 +505,15 @@
     agent_.OnTargetReport(MakeReport(40), now_, actions_);
     const FlowPackets adopted(1);
     agent_.OnTargetPacket(adopted.Answer(false), kPacketBytes, now_, actions_);
+    Pass(absl::Milliseconds(10));
+    // The earlier incarnation still runs after its last packet of the flow.
+    agent_.OnTargetReport(MakeReport(41), now_, actions_);
     ExpectResetFlow(agent_.OnTargetReport(MakeReport(1, 2000), now_, actions_),
                     0, absl::InfiniteDuration());
     const FlowPackets opened(2);
     OpenUntilRequest(opened);
     Pass(absl::Milliseconds(40));
+    agent_.OnTargetReport(MakeReport(2, 2000), now_, actions_);
     ExpectResetFlow(agent_.OnTargetReport(MakeReport(1, 3000), now_, actions_),
                     9001, absl::Milliseconds(40));
     OpenUntilRequest(opened);
@@ -519,11 +527,15 @@
     ExpectReset("target_lost_flow", 9001, absl::Milliseconds(15));
   }
 
-  // Guards against an agent that denies flows of a target that it does not
-  // know, and whose answers look like those of one that does.
+  // Guards against answers of an agent that look alike, whatever they are based
+  // on.
   void NotHeldAnswersAreCountedByEvidence() {
     const FlowPackets unknown(1);
     Search(unknown);
+    ExpectNotHeld({0, 0, 0, 0});
+    Pass(absl::Milliseconds(1));
+    agent_.OnTargetCrashed(now_, now_, actions_);
+    Search(unknown);
     ExpectNotHeld({0, 1, 0, 0});
     agent_.OnTargetHealthy(4);
     Search(unknown);
@@ -575,7 +587,12 @@
     CPPUNIT_ASSERT(std::get<AgentFlowEvidence>(decision.evidence).age == age);
   }
 
-  void Start() { agent_.OnTargetReport(MakeReport(1), now_, actions_); }
+  /// The first report of a target that started after its agent.
+  void Start() {
+    TargetReport report = MakeReport(1);
+    report.started = now_;
+    agent_.OnTargetReport(report, now_, actions_);
+  }
 
   void Pass(absl::Duration time) {
     now_ += time;
@@ -622,7 +639,7 @@
   }
 
   absl::Time now_ = kStart;
-  AgentForwarder agent_{MakeOptions(), kStart};
+  AgentForwarder agent_{MakeOptions(), kStart - absl::Seconds(1)};
   AgentActions actions_;
 };
 
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -466,7 +466,7 @@
     CPPUNIT_ASSERT(reset.kind == DecisionKind::kFlowReset);
     CPPUNIT_ASSERT_EQUAL(uint32_t{9001}, reset.sequence);
     const auto& search = std::get<SearchEvidence>(reset.evidence);
-    CPPUNIT_ASSERT_EQUAL(uint32_t{3}, search.queried);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{4}, search.queried);
     CPPUNIT_ASSERT_EQUAL(uint32_t{4}, search.known);
     CPPUNIT_ASSERT(search.uptime == kAgentExpiryTimeout + kAgentSuspectTimeout);
     CPPUNIT_ASSERT(search.newest_agent == kAgentSuspectTimeout);
