--- a/standins/flow_simulation/event_queue.h
+++ b/standins/flow_simulation/event_queue.h
@@ -27,12 +27,12 @@
   /// Precondition: `time` is not before now().
   void At(absl::Time time, std::function<void()> run) {
     events_.push_back({time, next_number_++, std::move(run)});
-    std::push_heap(events_.begin(), events_.end(), IsLater);
+    std::push_heap(events_.begin(), events_.end(), IsLater());
   }
   /// Runs the events up to and including `end`, which becomes the time.
   void RunUntil(absl::Time end) {
     while (!events_.empty() && events_.front().time <= end) {
-      std::pop_heap(events_.begin(), events_.end(), IsLater);
+      std::pop_heap(events_.begin(), events_.end(), IsLater());
       const Event event = std::move(events_.back());
       events_.pop_back();
       now_ = event.time;
@@ -48,9 +48,11 @@
     std::function<void()> run;
   };
 
-  static bool IsLater(const Event& a, const Event& b) {
-    return a.time != b.time ? a.time > b.time : a.number > b.number;
-  }
+  struct IsLater {
+    bool operator()(const Event& a, const Event& b) const {
+      return a.time != b.time ? a.time > b.time : a.number > b.number;
+    }
+  };
 
   absl::Time now_;
   uint64_t next_number_ = 0;
--- a/standins/flow_simulation/flow_simulation.cc
+++ b/standins/flow_simulation/flow_simulation.cc
@@ -68,12 +68,13 @@
   }
   router_ = std::make_unique<SimulatedRouter>(context_, entries_);
   context_.network.SetReceivers(
-      {[this](uint32_t source, uint32_t address, const NodeMessage& message) {
+      {[this](uint32_t source, uint32_t address,
+              std::shared_ptr<const StoredMessage> message) {
          const Actor node = nodes_.at(address);
          if (node.kind == ActorKind::kEntry)
-           entries_[node.index]->OnMessage(source, message);
+           entries_[node.index]->OnMessage(source, std::move(message));
          else
-           agents_[node.index]->OnMessage(source, message);
+           agents_[node.index]->OnMessage(source, std::move(message));
        },
        [this](const PacketHeader& header) { clients_.OnPacket(header); },
        [this](const SentReset& reset) { clients_.OnReset(reset); },
--- a/standins/flow_simulation/simulated_agent.cc
+++ b/standins/flow_simulation/simulated_agent.cc
@@ -113,11 +113,11 @@
            forwarder_->is_target_gone(context_.events.now())));
 }
 
-void SimulatedAgent::OnMessage(uint32_t source, const NodeMessage& message) {
-  const auto stored = std::make_shared<StoredMessage>(message);
-  Receive(Input::kMessage, [this, source, stored] {
+void SimulatedAgent::OnMessage(uint32_t source,
+                               std::shared_ptr<const StoredMessage> message) {
+  Receive(Input::kMessage, [this, source, message = std::move(message)] {
     std::visit(MessageHandler{*this, source, context_.events.now()},
-               stored->View());
+               message->message());
   });
 }
 
@@ -159,7 +159,7 @@
     probing_ = false;
     Receive(Input::kCommand, [this, refused] {
       if (refused) {
-        forwarder_->OnTargetCrashed(actions_);
+        forwarder_->OnTargetCrashed(context_.events.now(), actions_);
       } else {
         forwarder_->OnTargetHealthy(kAssumedSlots);
         nodes_->MakeAllDue();
--- a/standins/flow_simulation/simulated_agent.h
+++ b/standins/flow_simulation/simulated_agent.h
@@ -34,7 +34,7 @@
   uint32_t address() const { return address_; }
   SimulatedTarget& target() { return target_; }
 
-  void OnMessage(uint32_t source, const NodeMessage& message);
+  void OnMessage(uint32_t source, std::shared_ptr<const StoredMessage> message);
 
  private:
   struct MessageHandler;
--- a/standins/flow_simulation/simulated_entry.cc
+++ b/standins/flow_simulation/simulated_entry.cc
@@ -130,17 +130,18 @@
     context_.judge.OnTaken(flow, actor_.index);
     context_.Record(flow, actor_, header.opening ? "takes SYN" : "takes packet",
                     {}, {}, header.opening ? header.acknowledged : 0);
+    forwarder_->set_socket_delay(socket_delay());
     forwarder_->OnClientPacket(header, BytesOf(header), context_.events.now(),
                                actions_);
     Execute();
   });
 }
 
-void SimulatedEntry::OnMessage(uint32_t source, const NodeMessage& message) {
-  const auto stored = std::make_shared<StoredMessage>(message);
-  Receive(Input::kMessage, [this, source, stored] {
+void SimulatedEntry::OnMessage(uint32_t source,
+                               std::shared_ptr<const StoredMessage> message) {
+  Receive(Input::kMessage, [this, source, message = std::move(message)] {
     std::visit(MessageHandler{*this, source, context_.events.now()},
-               stored->View());
+               message->message());
   });
 }
 
--- a/standins/flow_simulation/simulated_entry.h
+++ b/standins/flow_simulation/simulated_entry.h
@@ -29,7 +29,7 @@
   bool IsReady() const;
 
   void OnClientPacket(const PacketHeader& header);
-  void OnMessage(uint32_t source, const NodeMessage& message);
+  void OnMessage(uint32_t source, std::shared_ptr<const StoredMessage> message);
   /// The store has a new configuration, which the entry has read after `delay`.
   void OnConfigurationChange(absl::Duration delay);
 
--- a/standins/flow_simulation/simulated_process.cc
+++ b/standins/flow_simulation/simulated_process.cc
@@ -84,7 +84,7 @@
     waiting_[static_cast<size_t>(input)].push_back(std::move(handle));
     return;
   }
-  last_round_ = context_.events.now();
+  BeginRound();
   handle();
 }
 
@@ -106,10 +106,15 @@
   });
 }
 
+void SimulatedProcess::BeginRound() {
+  socket_delay_ = context_.events.now() - last_round_;
+  last_round_ = context_.events.now();
+}
+
 void SimulatedProcess::Round() {
+  BeginRound();
   const absl::Time now = context_.events.now();
-  const bool suspended = now - last_round_ > kSuspendedGap;
-  last_round_ = now;
+  const bool suspended = socket_delay_ > kSuspendedGap;
   for (const Input input : order_) {
     std::vector<std::function<void()>> inputs;
     inputs.swap(waiting_[static_cast<size_t>(input)]);
--- a/standins/flow_simulation/simulated_process.h
+++ b/standins/flow_simulation/simulated_process.h
@@ -48,6 +48,9 @@
   /// Runs `handle` after `delay` unless the process has ended by then.
   void AfterWhileRunning(absl::Duration delay, std::function<void()> handle);
 
+  /// Longest time for which the datagrams of this round may have waited.
+  absl::Duration socket_delay() const { return socket_delay_; }
+
   virtual void OnStart() = 0;
   virtual void OnTerminate() = 0;
   /// Handles deadlines and sends reports.
@@ -62,6 +65,7 @@
 
  private:
   void ScheduleTick();
+  void BeginRound();
   void Round();
   void End();
 
@@ -74,6 +78,7 @@
   absl::Time leaving_since_;
   absl::Time stalled_until_ = absl::InfinitePast();
   absl::Time last_round_;
+  absl::Duration socket_delay_;
   absl::Time next_sweep_;
 };
 
