--- a/standins/flow_simulation/simulated_agent.cc
+++ b/standins/flow_simulation/simulated_agent.cc
@@ -144,7 +144,7 @@
 
 void SimulatedAgent::OnTargetLeft(const std::string& id) {
   Receive(Input::kCommand, [this, id] {
-    forwarder_->OnTargetLeft(id);
+    forwarder_->OnTargetLeft(id, 0);
     nodes_->MakeAllDue();
   });
 }
@@ -155,11 +155,11 @@
   const absl::Duration time =
       context_.random.Between(kMinProbeTime, kMaxProbeTime);
   const bool refused = !target_.is_running();
-  AfterWhileRunning(time, [this, refused] {
+  AfterWhileRunning(time, [this, refused, began = context_.events.now()] {
     probing_ = false;
-    Receive(Input::kCommand, [this, refused] {
+    Receive(Input::kCommand, [this, refused, began] {
       if (refused) {
-        forwarder_->OnTargetCrashed(context_.events.now(), actions_);
+        forwarder_->OnTargetCrashed(began, context_.events.now(), actions_);
       } else {
         forwarder_->OnTargetHealthy(kAssumedSlots);
         nodes_->MakeAllDue();
--- a/standins/flow_simulation/simulated_target.cc
+++ b/standins/flow_simulation/simulated_target.cc
@@ -101,6 +101,7 @@
     report.id = absl::StrCat("i-", actor_.index, "-", id_);
     report.service = service_;
     report.started_unix_ms = born_ms_;
+    report.started = absl::FromUnixMillis(born_ms_);
     report.sequence = ++report_sequence_;
     report.slots = context_.options.slots;
     report.draining = draining_;
