Reset a flow only after every agent has answered the search

What callers saw: an open flow was reset after a planned restart of the agent beside its target. Cause: a search counted an agent as queried although the agent was unresponsive and its packet was lost. If the agent was responsive again when the last other answer arrived, the search took its silence for an answer. Evidence: AgentThatWasUnresponsiveMustAnswerBeforeAReset failed before (resets: expected 0, actual 1). Why it works: the search records which agents have answered, and needs an answer of each.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -123,6 +123,8 @@
     absl::flat_hash_set<InstanceUid> queried;
     /// Queried agents that have not answered.
     absl::flat_hash_set<InstanceUid> awaited;
+    /// Agents that answered that they do not hold the flow.
+    absl::flat_hash_set<InstanceUid> denied;
   };
 
   /// Returns the attempt of the flow of an opening packet.
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -284,8 +284,10 @@
       found->second.all_queried = true;
     // All agents have answered an earlier packet, but their answers did not
     // prove that no agent holds the flow.
-    if (found->second.awaited.empty())
+    if (found->second.awaited.empty()) {
       found->second.queried.clear();
+      found->second.denied.clear();
+    }
     SendSearch(found->second, route, flow, packet, now, actions);
     return;
   }
@@ -407,6 +409,7 @@
   if (found == searches_.end())
     return;
   Search& search = found->second;
+  search.denied.insert(returned.agent.uid);
   const bool awaited = search.awaited.erase(returned.agent.uid) > 0;
   if (!awaited || !search.awaited.empty())
     return;
@@ -459,7 +462,10 @@
       return false;
     }
     for (const AgentView* agent : agents_.AgentsOfService(share.service)) {
-      if (!search.queried.contains(agent->identity.uid))
+      const bool ended = agent->load.state == InstanceState::kDown &&
+                         !IsResponsive(*agent, now) &&
+                         search.queried.contains(agent->identity.uid);
+      if (!ended && !search.denied.contains(agent->identity.uid))
         return false;
     }
   }
--- a/unittests/forwarding/reset_proof_test.cc
+++ b/unittests/forwarding/reset_proof_test.cc
@@ -138,6 +138,7 @@
   CPPUNIT_TEST(FlowOfADroppedRouteIsReset);
   CPPUNIT_TEST(StartedEntryAwaitsAgentsThatRestart);
   CPPUNIT_TEST(EntryAwaitsFurtherAgentsAfterOneAppeared);
+  CPPUNIT_TEST(AgentThatWasUnresponsiveMustAnswerBeforeAReset);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -325,6 +326,27 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, DenyByAll(entry, flow));
   }
 
+  // An agent restarts beside its running target and misses the packet of a
+  // search that is still in progress when it is back. Guards against a reset
+  // because the agent was queried and is responsive, although it never
+  // answered.
+  void AgentThatWasUnresponsiveMustAnswerBeforeAReset() {
+    TestEntry entry;
+    entry.ReportAll(LoadOf(0));
+    entry.Pass(absl::Seconds(1));
+    entry.Report(1, LoadOf(0));
+    entry.Report(2, LoadOf(0));
+    const FlowPackets flow;
+    entry.Client(flow.Request());
+    entry.Return(1, flow.Request(), ReturnReason::kNotHeld,
+                 ForwardMode::kSearch);
+    entry.Report(3, LoadOf(0));
+    entry.Return(2, flow.Request(), ReturnReason::kNotHeld,
+                 ForwardMode::kSearch);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, DenyByAll(entry, flow));
+  }
+
  private:
   /// Searches the flow, which no agent holds. Returns the number of resets.
   static size_t DenyByAll(TestEntry& entry, const FlowPackets& flow) {
