Ask foreign targets about a flow only while no agent is missing

Cause: an agent that started after its target passes the packets of unknown flows to the target, whose return is the proof that it does not hold the flow. While the agent of the flow's own target is away, a search gives the packet to up to 15 foreign targets and cannot give it to the right one. Why it works: a search says whether the entry's view of the service is complete. If it is not, agents answer from what they know and drop the packet otherwise; the client's next retransmission asks again. If it is, the own target is among those asked. The bit travels in the priority of a search, which earlier releases ignore. The setup of AgentRestartTest lets the entries know the agents for 3 s.

--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -21,6 +21,9 @@
 /// must accept it.
 inline constexpr size_t kMaxDeclines = 3;
 
+/// Least urgent priority of an opening packet.
+inline constexpr uint8_t kMaxPriority = 127;
+
 /// Load of the agent's target at the time of the message.
 struct AgentLoad {
   /// Requests that the target runs at once; 0 while no target is known.
@@ -93,8 +96,11 @@
   ForwardMode mode = ForwardMode::kOpening;
   ServiceUid service{};
   RequestKind kind = RequestKind::kNonIdempotent;
-  /// 0 is the most urgent.
+  /// 0 is the most urgent. At most kMaxPriority.
   uint8_t priority = 0;
+  /// kSearch: an agent that cannot tell whether its target holds the flow drops
+  /// the packet instead of asking the target.
+  bool known_only = false;
   /// Latency objective, in milliseconds since the client first sent the opening
   /// packet.
   uint32_t objective_ms = 0;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -233,7 +233,7 @@
     const absl::optional<NotHeldEvidence> evidence = EvidenceAgainst(id, now);
     if (evidence.has_value())
       ReturnNotHeld(delivery, *evidence, forwarded.packet, now, actions);
-    else
+    else if (!forwarded.known_only)
       Deliver(std::move(delivery), forwarded.packet, actions);
     return;
   }
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -316,6 +316,9 @@
   message.packet = packet;
   for (const RouteShare& share : route.shares) {
     message.service = share.service;
+    // While the agent that holds the flow may be missing, asking the others'
+    // targets would give the packet to foreign targets only.
+    message.known_only = !agents_.IsComplete(share.service, now);
     const absl::Span<AgentView* const> agents =
         agents_.AgentsOfService(share.service);
     queried_.clear();
--- a/lib/forwarding/node_codec.cc
+++ b/lib/forwarding/node_codec.cc
@@ -20,6 +20,10 @@
   kRefusalReport = 6,
 };
 
+/// ForwardedPacket::known_only in the byte of the priority. Earlier releases
+/// ignore the priority of a search.
+constexpr uint8_t kKnownOnly = kMaxPriority + 1;
+
 ByteWriter Begin(std::vector<uint8_t>& out, Type type) {
   out.clear();
   ByteWriter writer(out);
@@ -115,7 +119,9 @@
     writer.Choice(forwarded.mode);
     writer.Identity(forwarded.service);
     writer.Choice(forwarded.kind);
-    writer.Number(forwarded.priority);
+    const uint8_t priority = std::min(forwarded.priority, kMaxPriority);
+    writer.Number(static_cast<uint8_t>(
+        priority | (forwarded.known_only ? kKnownOnly : 0)));
     writer.Number(forwarded.objective_ms);
     writer.Number(forwarded.attempt_ms);
     writer.Number(forwarded.wait_limit_us);
@@ -192,7 +198,9 @@
   forwarded.mode = reader.Choice(ForwardMode::kSearch);
   forwarded.service = reader.Identity<ServiceUid>();
   forwarded.kind = reader.Choice(RequestKind::kDownload);
-  forwarded.priority = reader.Number<uint8_t>();
+  const uint8_t priority = reader.Number<uint8_t>();
+  forwarded.priority = priority & kMaxPriority;
+  forwarded.known_only = (priority & kKnownOnly) != 0;
   forwarded.objective_ms = reader.Number<uint32_t>();
   forwarded.attempt_ms = reader.Number<uint32_t>();
   forwarded.wait_limit_us = reader.Number<uint32_t>();
--- a/lib/forwarding/opening_request.cc
+++ b/lib/forwarding/opening_request.cc
@@ -28,8 +28,8 @@
   message.mode = ForwardMode::kOpening;
   message.service = ChooseService(route, flow);
   message.kind = route.kind;
-  message.priority = static_cast<uint8_t>(
-      std::min<uint32_t>(route.priority, std::numeric_limits<uint8_t>::max()));
+  message.priority =
+      static_cast<uint8_t>(std::min<uint32_t>(route.priority, kMaxPriority));
   const absl::Duration elapsed = opened - attempt.requested;
   message.objective_ms = ToMilliseconds(route.latency_objective - elapsed);
   const int attempts_left = std::max(1, kMaxAttempts - attempt.refused);
--- a/unittests/flow_proof/agent_restart_test.cc
+++ b/unittests/flow_proof/agent_restart_test.cc
@@ -25,6 +25,9 @@
     site_.ReportTarget(1, MakeReport(1));
     site_.Pass(absl::Seconds(10));
     Beat(2);
+    // The entries have known both agents for a while.
+    site_.Pass(absl::Seconds(3));
+    Beat(3);
   }
 
   // Guards against the reset of an open flow whose agent has restarted and has
--- a/unittests/forwarding/node_codec_test.cc
+++ b/unittests/forwarding/node_codec_test.cc
@@ -26,6 +26,7 @@
   ForwardedPacket forwarded;
   forwarded.mode = ForwardMode::kSearch;
   forwarded.priority = 1;
+  forwarded.known_only = true;
   forwarded.objective_ms = 150;
   forwarded.declined = {InstanceUid{1}, InstanceUid{2}};
   forwarded.packet = kPacketBytes;
--- a/unittests/forwarding/reset_proof_test.cc
+++ b/unittests/forwarding/reset_proof_test.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "packets.h"
+#include "skylarkshunt/forwarding/agent_forwarder.h"
 #include "skylarkshunt/forwarding/entry_forwarder.h"
 
 namespace skylarkshunt {
@@ -110,6 +111,7 @@
     return first_agent();
   }
 
+  const EntryActions& actions() const { return actions_; }
   size_t resets() const { return actions_.resets.size(); }
   EntryForwarder& forwarder() { return forwarder_; }
 
@@ -139,6 +141,7 @@
   CPPUNIT_TEST(StartedEntryAwaitsAgentsThatRestart);
   CPPUNIT_TEST(EntryAwaitsFurtherAgentsAfterOneAppeared);
   CPPUNIT_TEST(AgentThatWasUnresponsiveMustAnswerBeforeAReset);
+  CPPUNIT_TEST(ForeignTargetsAreNotAskedWhileAnAgentIsMissing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -347,6 +350,33 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, DenyByAll(entry, flow));
   }
 
+  // The agent that holds a flow restarts, and the other agents restarted
+  // before, so that they do not know the flows of their targets. Guards against
+  // packets of the flow that reach foreign targets only.
+  void ForeignTargetsAreNotAskedWhileAnAgentIsMissing() {
+    TestEntry entry;
+    entry.ReportAll(LoadOf(0));
+    entry.Pass(absl::Seconds(1));
+    entry.Report(1, LoadOf(0));
+    entry.Report(2, LoadOf(0));
+    const FlowPackets flow;
+    AgentForwarder::Options options;
+    options.identity = IdentityOf(1);
+    options.service = "dispatch";
+    AgentForwarder agent(options, kStart);
+    agent.OnTargetHealthy(4);
+    for (const bool missing : {true, false}) {
+      entry.Client(flow.Request());
+      const ForwardedPacket& search = entry.actions().to_agents.at(0).message;
+      CPPUNIT_ASSERT(search.mode == ForwardMode::kSearch);
+      AgentActions actions;
+      agent.OnForwarded(search, flow.Request(), {}, kStart, actions);
+      CPPUNIT_ASSERT_EQUAL(size_t{missing ? 0U : 1U}, actions.to_target.size());
+      CPPUNIT_ASSERT(actions.to_entries.empty());
+      entry.Report(3, LoadOf(0));
+    }
+  }
+
  private:
   /// Searches the flow, which no agent holds. Returns the number of resets.
   static size_t DenyByAll(TestEntry& entry, const FlowPackets& flow) {
