--- a/standins/flow_simulation/flow_simulation.cc
+++ b/standins/flow_simulation/flow_simulation.cc
@@ -89,6 +89,9 @@
 
 void FlowSimulation::SetLoad(double load) {
   load_ = load;
+  // A burst may end after the last request.
+  if (is_finishing_)
+    return;
   const double slots =
       static_cast<double>(agents_.size()) * context_.options.slots;
   clients_.SetRate(load * context_.options.load * slots /
@@ -150,9 +153,11 @@
     });
   }
   context_.events.RunUntil(context_.events.now() + kStartTime);
+  context_.store_available = context_.options.store;
   SetLoad(1.0);
   faults_->Schedule(context_.options.duration);
   context_.events.RunUntil(context_.events.now() + context_.options.duration);
+  is_finishing_ = true;
   clients_.SetRate(0, {});
   context_.events.RunUntil(context_.events.now() + kFinishTime);
 }
@@ -167,8 +172,11 @@
       absl::ToDoubleSeconds(violation.time - kSimulationStart),
       violation.reason, violation.holder, violation.sender.ToString(),
       violation.entry.ToString(), violation.target.ToString(),
-      violation.flow.ToString(),
-      context_.course.Describe(violation.flow, kSimulationStart));
+      violation.flow.ToString(), Describe(violation.flow));
+}
+
+std::string FlowSimulation::Describe(const FlowId& flow) const {
+  return context_.course.Describe(flow, kSimulationStart);
 }
 
 }  // namespace skylarkshunt
--- a/standins/flow_simulation/flow_simulation.h
+++ b/standins/flow_simulation/flow_simulation.h
@@ -33,6 +33,8 @@
   const std::vector<std::string>& faults() const { return context_.log; }
   /// Returns the violation and the course of its flow.
   std::string Describe(const Violation& violation) const;
+  /// Returns the course of the flow.
+  std::string Describe(const FlowId& flow) const;
 
  private:
   /// Sets the load as a multiple of the usual one.
@@ -51,6 +53,7 @@
   std::unique_ptr<FaultPlan> faults_;
   std::vector<Endpoint> services_;
   double load_ = 1.0;
+  bool is_finishing_ = false;
 };
 
 }  // namespace skylarkshunt
--- a/standins/flow_simulation/simulated_entry.cc
+++ b/standins/flow_simulation/simulated_entry.cc
@@ -146,7 +146,7 @@
 }
 
 void SimulatedEntry::OnConfigurationChange(absl::Duration delay) {
-  if (is_running())
+  if (is_running() && context_.store_available)
     FetchConfiguration(context_.configurations.size(), delay);
 }
 
@@ -168,6 +168,8 @@
 }
 
 void SimulatedEntry::ReadStore() {
+  if (!context_.store_available)
+    return;
   for (const NodeAddress& node : context_.stored_nodes)
     nodes_->Learn(node, context_.events.now());
   FetchConfiguration(context_.configurations.size(), absl::ZeroDuration());
--- a/standins/flow_simulation/simulation_context.h
+++ b/standins/flow_simulation/simulation_context.h
@@ -43,7 +43,7 @@
   void Log(absl::string_view what, Actor actor = {}) {
     log.push_back(absl::StrFormat(
         "%10.6f %s %s", absl::ToDoubleSeconds(events.now() - kSimulationStart),
-        what, actor.ToString()));
+        what, actor.kind == ActorKind::kNone ? "" : actor.ToString()));
   }
 
   const SimulationOptions options;
@@ -58,6 +58,7 @@
   std::vector<std::shared_ptr<const RouteTable>> configurations;
   /// Objects of nodes in the store, and the longest time to read them.
   std::vector<NodeAddress> stored_nodes;
+  bool store_available = true;
   absl::Duration store_delay = absl::Milliseconds(400);
 };
 
--- a/standins/flow_simulation/simulation_options.h
+++ b/standins/flow_simulation/simulation_options.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "skylarkshunt/packets/packet.h"
 
 namespace skylarkshunt {
 
@@ -46,6 +47,9 @@
   /// Ports that a client address uses in turn. With 200 of them flows of the
   /// same ports follow each other after some seconds.
   uint16_t client_ports = 5000;
+  /// Whether the store answers after the first start of the nodes. Otherwise
+  /// nodes learn of each other from seeds and reports only.
+  bool store = true;
   FaultKinds faults;
 };
 
@@ -60,6 +64,7 @@
   size_t refused = 0;
   /// Attempts that their client ended after 1.4 s without an answer.
   size_t unanswered = 0;
+  std::vector<FlowId> unanswered_flows;
   /// Resets for a flow whose client has accepted a grant that has not reached
   /// the target yet. They are out of the window and do no harm.
   size_t resets_during_handshake = 0;
--- a/tools/skylarkshunt-flow-sim/main.cc
+++ b/tools/skylarkshunt-flow-sim/main.cc
@@ -20,6 +20,7 @@
   double seconds = 15;
   size_t course_limit = 3;
   bool show_excused = false;
+  bool show_unanswered = false;
   bool quiet = false;
   SimulationOptions simulation;
 };
@@ -98,6 +99,14 @@
     ++shown;
     std::cout << "  " << simulation.Describe(violation);
   }
+  if (settings.show_unanswered) {
+    for (const FlowId& flow : simulation.figures().unanswered_flows) {
+      if (shown++ >= settings.course_limit)
+        break;
+      std::cout << "  unanswered " << flow.ToString() << "\n"
+                << simulation.Describe(flow);
+    }
+  }
   std::cout << std::flush;
   totals.broken += broken;
   totals.excused += excused;
@@ -126,6 +135,8 @@
       "flows of each seed to print");
   add("excused", po::bool_switch(&settings.show_excused),
       "also print the flows of excused violations");
+  add("unanswered", po::bool_switch(&settings.show_unanswered),
+      "also print attempts that ended without an answer");
   add("quiet", po::bool_switch(&settings.quiet),
       "print only seeds that break a rule");
   add("planned-only", po::bool_switch(&planned_only),
@@ -137,6 +148,7 @@
   add("no-loss", "no lost packets");
   add("no-configurations", "no changes of routes");
   add("no-bursts", "no bursts");
+  add("no-store", "nodes that start again cannot read the store");
   add("help", "print this text");
   return options;
 }
@@ -168,6 +180,7 @@
   faults.loss = !planned_only && enabled("no-loss");
   faults.configurations = enabled("no-configurations");
   faults.bursts = enabled("no-bursts");
+  settings.simulation.store = enabled("no-store");
   Totals totals;
   for (uint32_t i = 0; i < settings.seeds; ++i)
     RunSeed(settings, settings.first_seed + i, totals);
