Count a request of the simulation once

A client whose idle flow was reset tried a request again that it had not sent, so that more requests were served than sent. It now waits for its pause to end.

--- a/standins/flow_simulation/simulated_clients.cc
+++ b/standins/flow_simulation/simulated_clients.cc
@@ -180,9 +180,7 @@
         !IsInResetWindow(header.sequence, connection.sequences))
       return;
     context_.Record(flow, kClient, "is reset by its target");
-    const size_t session = connection.session;
-    Close(flow, connection);
-    Fail(session);
+    EndOpenFlow(flow, connection);
     return;
   }
   OnAnswer(flow, connection, header);
@@ -243,11 +241,13 @@
   end.ending = true;
   Send(flow, end);
   ++connection.sequences.next;
+  if (header.payload_bytes != kAnswerBytes) {
+    connection.awaiting |= header.payload_bytes > 0;
+    EndOpenFlow(flow, connection);
+    return;
+  }
   Close(flow, connection);
-  if (header.payload_bytes == kAnswerBytes)
-    FinishRequest(session, true);
-  else
-    Fail(session);
+  FinishRequest(session, true);
 }
 
 void SimulatedClients::Acknowledge(const FlowId& flow,
@@ -349,6 +349,15 @@
   FinishRequest(index, false);
 }
 
+void SimulatedClients::EndOpenFlow(const FlowId& flow, Connection& connection) {
+  // Without a request the client opens another flow after its pause.
+  const bool awaiting = connection.phase == Phase::kOpen && connection.awaiting;
+  const size_t session = connection.session;
+  Close(flow, connection);
+  if (awaiting)
+    Fail(session);
+}
+
 void SimulatedClients::Close(const FlowId& flow, Connection& connection) {
   connection.phase = Phase::kOver;
   connection.awaiting = false;
@@ -384,10 +393,7 @@
   context_.judge.OnReset(reset, honoured);
   if (!honoured)
     return;
-  const Phase phase = connection.phase;
-  Close(reset.flow, connection);
-  if (phase == Phase::kOpen)
-    Fail(session);
+  EndOpenFlow(reset.flow, connection);
 }
 
 }  // namespace skylarkshunt
--- a/standins/flow_simulation/simulated_clients.h
+++ b/standins/flow_simulation/simulated_clients.h
@@ -84,6 +84,8 @@
   /// The current attempt at the session's request has failed.
   void Fail(size_t session);
   void FinishRequest(size_t session, bool served);
+  /// The target or a reset has ended an open flow.
+  void EndOpenFlow(const FlowId& flow, Connection& connection);
   void Close(const FlowId& flow, Connection& connection);
   Connection* Find(const FlowId& flow, uint64_t number);
   void Send(const FlowId& flow, const PacketHeader& header);
