Soak open flows under overlapping signals, restarts and changes

The soak opened a flow for each request and closed it a few milliseconds later, caused one fault at a time, and counted every reset of an open flow as justified when its target's node had been terminated. It could show neither a reset that follows from another copy of the opening packet nor packets at foreign targets.

Clients now keep a part of their flows open for many requests, repeat what is not answered, and open three to five times as many flows in bursts. Targets have slots and a queue, draw a random sequence number for each grant and write checksums. A ledger joins what clients and targets see: a reset of a flow that its target holds and did not send, and two seconds in which three packets reach other targets and none its own, break rule FLOW. Planned work excuses nothing; unplanned faults excuse for four seconds the machine of the target and, outside the usual profile, the entries that took the packets or that logged the reset.

The profiles overlap, rolls and large combine rolls, SIGTERM to several nodes, SIGKILL in the grace time, reloads, kills of all nodes, drains, replaced targets, series of configurations with and without routes, pauses in bursts and short crashes of targets. A run that breaks a promise keeps its settings and logs, and prints the log lines that name the flow.

--- a/standins/packet_fleet/packet_fleet.cc
+++ b/standins/packet_fleet/packet_fleet.cc
@@ -19,32 +19,14 @@
 constexpr uint16_t kAppPort = 8165;
 constexpr uint16_t kPeerPort = 7720;
 constexpr uint16_t kStorePort = 8169;
-constexpr int kFirstAgentHost = 50;
+/// Hosts are the last 16 bits of an address; entries begin at 1.
 constexpr int kStoreHost = 200;
 constexpr int kStorePathHost = 201;
 constexpr int kFirstClientHost = 210;
 constexpr int kClients = 6;
-constexpr absl::Duration kReadinessInterval = absl::Milliseconds(250);
-constexpr int kMissesUntilOut = 2;
-constexpr absl::Duration kStartLimit = absl::Seconds(20);
-
-constexpr char kConfigurationKey[] = "config/main";
-/// Follows the version.
-constexpr char kConfiguration[] = R"(,"routes":[
- {"name":"a","host":"198.18.0.1","path-prefix":"/8443/","kind":"idempotent",
-  "timeout-ms":3000,"target-latency-ms":200,"priority":2,"service":"red"},
- {"name":"b","host":"198.18.0.1","path-prefix":"/8080/",
-  "kind":"non_idempotent","timeout-ms":3000,"target-latency-ms":200,
-  "priority":1,"service":"red"},
- {"name":"c","host":"198.18.0.2","path-prefix":"/443/","kind":"idempotent",
-  "timeout-ms":3000,"target-latency-ms":200,"priority":2,"service":"blue"}],
- "services":[{"name":"red","health-path":"/health","max-conns":2000},
-  {"name":"blue","health-path":"/health","max-conns":2000}],
- "limits":{"idle-timeout-ms":15000}})";
-
-std::string ConfigurationOf(uint64_t version) {
-  return absl::StrCat("{\"version\":", version, kConfiguration);
-}
+constexpr int kFirstAgentHost = 256;
+constexpr int kMostEntries = kStoreHost - 1;
+constexpr int kMostAgents = 512;
 
 const char* ServiceOf(int target) {
   return target % 2 == 0 ? "red" : "blue";
@@ -60,6 +42,13 @@
 
 Result<std::unique_ptr<PacketFleet>> PacketFleet::Start(
     const Options& options) {
+  if (options.entries > kMostEntries || 2 * options.targets > kMostAgents) {
+    return MakeError(
+        ErrorKind::kInvalidArgument,
+        absl::StrCat(options.entries, " entries and ", 2 * options.targets,
+                     " targets"),
+        absl::StrCat("at most ", kMostEntries, " and ", kMostAgents));
+  }
   auto fleet = absl::WrapUnique(new PacketFleet(options));
   BOOST_OUTCOME_TRYV(fleet->StartStore());
   for (int i = 0; i < options.entries; ++i) {
@@ -74,9 +63,7 @@
 }
 
 PacketFleet::~PacketFleet() {
-  stop_.Notify();
-  if (readiness_.joinable())
-    readiness_.join();
+  rotation_.reset();
   for (Node& node : nodes_) {
     if (node.process != nullptr) {
       node.process->Resume();
@@ -90,7 +77,7 @@
   store.listen = At(kStoreHost, kStorePort);
   BOOST_OUTCOME_TRY(server, PlatformServer::Start(store));
   store_ = std::move(server);
-  store_->core().Write(kConfigurationKey, ConfigurationOf(version_), 0);
+  configuration_.WriteFirst(store_->core());
   BOOST_OUTCOME_TRY(path, StreamProxy::Start(At(kStorePathHost, kStorePort),
                                              store_->address()));
   store_path_ = std::move(path);
@@ -98,17 +85,30 @@
 }
 
 uint64_t PacketFleet::ChangeConfiguration() {
-  const nlohmann::json held = nlohmann::json::parse(
-      store_->core().Read(kConfigurationKey).body, nullptr, false);
-  if (!held.is_object() || !held.contains("meta"))
-    return 0;
-  const PlatformAnswer answer =
-      store_->core().Write(kConfigurationKey, ConfigurationOf(version_ + 1),
-                           held["meta"].value("rev", uint64_t{0}));
-  constexpr int kOk = 200;
-  if (answer.status != kOk)
+  return configuration_.Write(store_->core());
+}
+
+uint64_t PacketFleet::AddRoute() {
+  const FleetConfiguration before = configuration_;
+  configuration_.AddRoute();
+  const uint64_t version = configuration_.Write(store_->core());
+  if (version == 0) {
+    configuration_ = before;
     return 0;
-  return ++version_;
+  }
+  ledger_.RecordRouteAdded(configuration_.routes().back().address);
+  clients_->SetRoutes(configuration_.routes());
+  return version;
+}
+
+uint64_t PacketFleet::RemoveRoute() {
+  const Endpoint address = configuration_.RemoveRoute();
+  clients_->SetRoutes(configuration_.routes());
+  // A node may apply the version before the store's response is here.
+  ledger_.RecordRouteRemoved(address, MonotonicNow());
+  // A write without a response may have been executed, so the route is left
+  // out of the clients' routes in any case until it is added again.
+  return configuration_.Write(store_->core());
 }
 
 uint64_t PacketFleet::VersionInForce(size_t index) const {
@@ -152,16 +152,18 @@
        << "\n";
   if (!entry) {
     FlowTarget::Options options;
-    options.index = static_cast<uint8_t>(target + 1);
+    options.index = target;
     options.service = ServiceOf(target);
     options.app = At(host, kAppPort);
     options.outbound = At(host, kOutboundPort);
     options.reports = At(host, kReportsPort);
+    options.work = options_.work_time;
+    options.slots = options_.slots;
     file << "listen.outbound=" << options.outbound.ToString()
          << "\nlisten.control=" << options.reports.ToString()
          << "\napp=" << options.app.ToString()
          << "\nservice=" << options.service << "\n";
-    BOOST_OUTCOME_TRY(started, FlowTarget::Start(options));
+    BOOST_OUTCOME_TRY(started, FlowTarget::Start(options, ledger_));
     targets_.push_back(std::move(started));
   }
   file.close();
@@ -185,22 +187,26 @@
   for (int i = 0; i < kClients; ++i)
     options.addresses.push_back(At(kFirstClientHost + i, 0).address);
   options.port = kDataPort;
-  const auto at = [](const char* text) {
-    return Endpoint::Parse(text).value();
-  };
-  options.routes = {{at("198.18.0.1:8443"), "red", true},
-                    {at("198.18.0.1:8080"), "red", false},
-                    {at("198.18.0.2:443"), "blue", true}};
+  options.routes = configuration_.routes();
   options.requests_per_second = options_.requests_per_second;
+  options.kept_percent = options_.kept_percent;
   options.seed = options_.seed;
-  BOOST_OUTCOME_TRY(clients, FlowClients::Start(options));
+  BOOST_OUTCOME_TRY(clients, FlowClients::Start(options, ledger_));
   clients_ = std::move(clients);
-  readiness_ = std::thread([this] { FollowReadiness(); });
+  std::vector<EntryRotation::Entry> entries;
+  for (const Node& node : nodes_) {
+    if (node.entry)
+      entries.push_back({node.readiness, node.data});
+  }
+  rotation_ = std::make_unique<EntryRotation>(
+      std::move(entries), [this](std::vector<Endpoint> rotation) {
+        clients_->SetRotation(std::move(rotation));
+      });
   return Success();
 }
 
 Result<void> PacketFleet::AwaitAnswers() {
-  const absl::Time end = absl::Now() + kStartLimit;
+  const absl::Time end = absl::Now() + options_.start_limit;
   while (clients_->tally().answered < options_.requests_per_second) {
     if (absl::Now() > end) {
       return MakeError(ErrorKind::kUnavailable, "the fleet answers nothing",
@@ -211,32 +217,4 @@
   return Success();
 }
 
-/// Takes entries out of rotation as the platform's routers do.
-void PacketFleet::FollowReadiness() {
-  std::vector<Endpoint> readiness;
-  std::vector<Endpoint> data;
-  for (const Node& node : nodes_) {
-    if (node.entry) {
-      readiness.push_back(node.readiness);
-      data.push_back(node.data);
-    }
-  }
-  std::vector<int> misses(data.size(), kMissesUntilOut);
-  while (!stop_.WaitForNotificationWithTimeout(kReadinessInterval)) {
-    std::vector<Endpoint> rotation;
-    for (size_t i = 0; i < data.size(); ++i) {
-      HttpCall call;
-      call.server = readiness[i];
-      call.target = "/skylarkshunt/ready";
-      call.timeout = absl::Milliseconds(150);
-      const Result<HttpAnswer> answer = Call(call);
-      const bool ready = answer.has_value() && answer.value().status == 200;
-      misses[i] = ready ? 0 : misses[i] + 1;
-      if (misses[i] < kMissesUntilOut)
-        rotation.push_back(data[i]);
-    }
-    clients_->SetRotation(rotation.empty() ? data : rotation);
-  }
-}
-
 }  // namespace skylarkshunt
--- a/standins/packet_fleet/packet_fleet.h
+++ b/standins/packet_fleet/packet_fleet.h
@@ -3,13 +3,12 @@
 
 #include <memory>
 #include <string>
-#include <thread>
 #include <vector>
 
-#include "absl/base/thread_annotations.h"
-#include "absl/synchronization/mutex.h"
-#include "absl/synchronization/notification.h"
+#include "standins/packet_fleet/entry_rotation.h"
+#include "standins/packet_fleet/fleet_configuration.h"
 #include "standins/packet_fleet/flow_clients.h"
+#include "standins/packet_fleet/flow_ledger.h"
 #include "standins/packet_fleet/flow_target.h"
 #include "standins/packet_fleet/stream_proxy.h"
 #include "standins/platform/platform_server.h"
@@ -28,7 +27,14 @@
     /// Targets of each of the two services.
     int targets = 3;
     int requests_per_second = 120;
+    /// Flows of a hundred that stay open for many requests.
+    int kept_percent = 0;
+    /// Mean time of a request at a target, and its slots.
+    absl::Duration work_time = absl::Milliseconds(15);
+    size_t slots = 4;
     uint32_t seed = 1;
+    /// Time until requests are answered.
+    absl::Duration start_limit = absl::Seconds(20);
     /// Folder of the programs, and where settings and logs go.
     std::string programs;
     std::string work;
@@ -45,7 +51,8 @@
   };
 
   /// Starts everything and returns once requests are answered. Errors: as the
-  /// parts, kUnavailable when nothing is answered within 20 s.
+  /// parts, kUnavailable when nothing is answered in time,
+  /// kInvalidArgument for more nodes than there are addresses.
   static Result<std::unique_ptr<PacketFleet>> Start(const Options& options);
   ~PacketFleet();
 
@@ -59,9 +66,16 @@
   /// Writes the configuration with a version that is one higher. Returns the
   /// version, or 0 where the store does not take it.
   uint64_t ChangeConfiguration();
+  /// As above with one more route, which clients use at once.
+  uint64_t AddRoute();
+  /// As above with one route less; clients open no more flows with it.
+  uint64_t RemoveRoute();
+  size_t added_routes() const { return configuration_.added(); }
   /// Version of the configuration in force at a node; 0 without an answer.
   uint64_t VersionInForce(size_t index) const;
   FlowClients& clients() { return *clients_; }
+  const FlowLedger& ledger() const { return ledger_; }
+  const Options& options() const { return options_; }
 
  private:
   explicit PacketFleet(const Options& options) : options_(options) {}
@@ -70,18 +84,17 @@
   Result<void> AddNode(int number, int target);
   Result<void> StartClients();
   Result<void> AwaitAnswers();
-  void FollowReadiness();
   Endpoint At(int host, uint16_t port) const;
 
   const Options options_;
+  FlowLedger ledger_;
+  FleetConfiguration configuration_;
   std::unique_ptr<PlatformServer> store_;
   std::unique_ptr<StreamProxy> store_path_;
-  uint64_t version_ = 7;
   std::vector<Node> nodes_;
   std::vector<std::unique_ptr<FlowTarget>> targets_;
   std::unique_ptr<FlowClients> clients_;
-  absl::Notification stop_;
-  std::thread readiness_;
+  std::unique_ptr<EntryRotation> rotation_;
 };
 
 }  // namespace skylarkshunt
--- /dev/null
+++ b/standins/packet_fleet/soak_profile.cc
@@ -0,0 +1,91 @@
+#include "standins/packet_fleet/soak_profile.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace skylarkshunt {
+namespace {
+
+/// Two slots of this service time make a burst exceed what targets can run.
+constexpr absl::Duration kBusyWork = absl::Milliseconds(50);
+constexpr size_t kBusySlots = 2;
+constexpr int kUsualKeptPercent = 10;
+constexpr int kKeptPercent = 25;
+
+const std::vector<FaultKind>& PlannedSeries() {
+  static const auto* const kinds = new std::vector<FaultKind>{
+      FaultKind::kTerminate,     FaultKind::kDrain,
+      FaultKind::kTerminateMany, FaultKind::kRollEntries,
+      FaultKind::kRollAgents,    FaultKind::kReload,
+      FaultKind::kChangeRoutes,  FaultKind::kTerminateInDrain,
+      FaultKind::kReplaceTarget, FaultKind::kBurst,
+      FaultKind::kBurst};
+  return *kinds;
+}
+
+const std::vector<FaultKind>& UnplannedSeries() {
+  static const auto* const kinds = new std::vector<FaultKind>{
+      FaultKind::kKill,         FaultKind::kCrashTargetBriefly,
+      FaultKind::kPauseInBurst, FaultKind::kTerminateAndKill,
+      FaultKind::kKillAll,      FaultKind::kKillEntries,
+      FaultKind::kHarmStore,    FaultKind::kHarmStorePath};
+  return *kinds;
+}
+
+SoakProfile MakeUsual() {
+  SoakProfile profile;
+  profile.planned = {FaultKind::kTerminate, FaultKind::kDrain,
+                     FaultKind::kChangeConfiguration};
+  profile.unplanned = {FaultKind::kKill,          FaultKind::kPause,
+                       FaultKind::kCrashTarget,   FaultKind::kHarmStore,
+                       FaultKind::kHarmStorePath, FaultKind::kKillMany};
+  profile.entry_faults_excuse = false;
+  return profile;
+}
+
+SoakProfile MakeOverlap() {
+  SoakProfile profile;
+  profile.planned = PlannedSeries();
+  profile.unplanned = UnplannedSeries();
+  profile.max_absence_ms = 1200;
+  profile.overlapping = true;
+  return profile;
+}
+
+SoakProfile MakeRolls() {
+  SoakProfile profile;
+  profile.planned = {FaultKind::kRollEntries, FaultKind::kRollAgents,
+                     FaultKind::kTerminateMany, FaultKind::kChangeRoutes,
+                     FaultKind::kBurst};
+  profile.max_absence_ms = 800;
+  profile.overlapping = true;
+  return profile;
+}
+
+}  // namespace
+
+Result<SoakProfile> SoakProfile::Find(absl::string_view name) {
+  SoakProfile profile;
+  if (name == "usual") {
+    profile = MakeUsual();
+  } else if (name == "overlap" || name == "large") {
+    profile = MakeOverlap();
+  } else if (name == "rolls") {
+    profile = MakeRolls();
+  } else {
+    return MakeError(ErrorKind::kInvalidArgument,
+                     absl::StrCat("no profile \"", std::string(name), "\""),
+                     "choose usual, overlap, rolls or large");
+  }
+  profile.name = std::string(name);
+  return profile;
+}
+
+void SoakProfile::SetLoad(PacketFleet::Options& fleet) const {
+  fleet.kept_percent = overlapping ? kKeptPercent : kUsualKeptPercent;
+  if (!overlapping)
+    return;
+  fleet.work_time = kBusyWork;
+  fleet.slots = kBusySlots;
+}
+
+}  // namespace skylarkshunt
--- a/standins/process/child_process.cc
+++ b/standins/process/child_process.cc
@@ -115,6 +115,10 @@
   Signal(SIGTERM);
 }
 
+void ChildProcess::Reload() {
+  Signal(SIGHUP);
+}
+
 void ChildProcess::Kill() {
   Signal(SIGKILL);
 }
--- a/standins/process/child_process.h
+++ b/standins/process/child_process.h
@@ -42,8 +42,9 @@
   /// Returns the rest of standard output up to its end or `timeout`.
   std::string ReadAll(absl::Duration timeout);
 
-  /// SIGTERM, SIGKILL and SIGCONT. No effect after the end.
+  /// SIGTERM, SIGHUP, SIGKILL and SIGCONT. No effect after the end.
   void Stop();
+  void Reload();
   void Kill();
   void Resume();
   /// SIGSTOP; returns when the process has stopped or ended. A signal sent
--- a/tools/skylarkshunt-soak/main.cc
+++ b/tools/skylarkshunt-soak/main.cc
@@ -2,8 +2,13 @@
 
 #include <boost/program_options.hpp>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
+#include <map>
+#include <string>
 
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
 #include "standins/packet_fleet/soak.h"
 
 namespace skylarkshunt {
@@ -17,33 +22,83 @@
   int seconds = 12;
   int entries = 3;
   int targets = 3;
+  int requests_per_second = 120;
+  std::string profile = "usual";
   std::string work = "out/soak";
 };
 
-/// Runs one seed and returns whether all promises held.
-bool RunSeed(const Settings& settings,
-             uint32_t seed,
-             const std::string& programs) {
+/// Time to start each node of a large fleet, beside the usual limit.
+constexpr absl::Duration kStartPerNode = absl::Milliseconds(300);
+
+/// What the seeds found together.
+struct Total {
+  uint32_t broken = 0;
+  std::map<std::string, int> flow_counts;
+};
+
+SoakOptions MakeOptions(const Settings& settings,
+                        const SoakProfile& profile,
+                        uint32_t seed,
+                        const std::string& programs) {
   SoakOptions options;
+  options.profile = profile;
   options.fleet.seed = seed;
   options.fleet.network = static_cast<uint8_t>(70 + seed % 100);
   options.fleet.entries = settings.entries;
   options.fleet.targets = settings.targets;
+  options.fleet.requests_per_second = settings.requests_per_second;
   options.fleet.programs = programs;
   options.fleet.work = settings.work + "/" + std::to_string(seed);
+  options.fleet.start_limit +=
+      kStartPerNode * (settings.entries + 2 * settings.targets);
+  profile.SetLoad(options.fleet);
   options.duration = absl::Seconds(settings.seconds);
-  options.planned_only = seed % 5 == 0;
+  options.planned_only =
+      profile.unplanned.empty() || seed % (profile.overlapping ? 2 : 5) == 0;
+  return options;
+}
+
+/// Keeps the settings and logs of a run that broke a promise, so that the next
+/// run of the seed does not replace them. Returns their folder.
+std::string KeepWork(const std::string& work) {
+  std::string kept = work + absl::FormatTime("-broken-%Y%m%dT%H%M%S",
+                                             absl::Now(), absl::UTCTimeZone());
+  std::filesystem::rename(work, kept);
+  return kept;
+}
+
+/// Runs one seed and prints one line, and the report if a promise was broken.
+void RunSeed(const SoakOptions& options, Total& total) {
   std::filesystem::remove_all(options.fleet.work);
   std::filesystem::create_directories(options.fleet.work);
   const Result<SoakReport> report = RunSoak(options);
-  std::cout << "seed " << seed << (options.planned_only ? " (planned)" : "")
-            << "\n";
+  std::cout << "seed " << options.fleet.seed << " " << options.profile.name
+            << (options.planned_only ? " planned" : "");
   if (!report.has_value()) {
-    std::cout << report.error().ToString() << "\n";
-    return false;
+    ++total.broken;
+    std::cout << " " << report.error().ToString() << std::endl;
+    return;
+  }
+  const SoakReport& found = report.value();
+  std::cout << " broken=" << found.broken.size();
+  for (const auto& [kind, count] : found.flow_counts) {
+    std::cout << " " << kind << "=" << count;
+    total.flow_counts[kind] += count;
+  }
+  std::cout << " asked=" << found.tally.asked
+            << " answered=" << found.tally.answered
+            << " refused=" << found.tally.refused
+            << " kept_flows=" << found.tally.kept;
+  const std::string text = WriteReport(found);
+  if (found.broken.empty()) {
+    std::cout << std::endl;
+    std::ofstream(options.fleet.work + "/report.txt") << text;
+    return;
   }
-  std::cout << WriteReport(report.value()) << std::flush;
-  return report.value().broken.empty();
+  ++total.broken;
+  const std::string kept = KeepWork(options.fleet.work);
+  std::ofstream(kept + "/report.txt") << text;
+  std::cout << " kept=" << kept << "\n" << text << std::flush;
 }
 
 int Run(int argc, char** argv) {
@@ -57,6 +112,10 @@
       "seconds", po::value(&settings.seconds), "time with faults, each seed")(
       "entries", po::value(&settings.entries), "entries")(
       "targets", po::value(&settings.targets), "targets of each service")(
+      "requests-per-second", po::value(&settings.requests_per_second),
+      "new flows per second outside bursts")(
+      "profile", po::value(&settings.profile),
+      "usual, overlap, rolls or large: which faults, and how they overlap")(
       "work", po::value(&settings.work), "folder for settings and logs")(
       "help", "print this text");
   po::variables_map values;
@@ -71,15 +130,24 @@
     std::cout << options;
     return 0;
   }
+  const Result<SoakProfile> profile = SoakProfile::Find(settings.profile);
+  if (!profile.has_value()) {
+    std::cerr << profile.error().ToString() << "\n";
+    return 2;
+  }
   const std::string programs =
       std::filesystem::canonical("/proc/self/exe").parent_path().string();
-  uint32_t broken = 0;
+  Total total;
   for (uint32_t i = 0; i < settings.seeds; ++i) {
-    if (!RunSeed(settings, settings.first_seed + i, programs))
-      ++broken;
+    RunSeed(MakeOptions(settings, profile.value(), settings.first_seed + i,
+                        programs),
+            total);
   }
-  std::cout << "seeds " << settings.seeds << " broken " << broken << "\n";
-  return broken == 0 ? 0 : 1;
+  std::cout << "seeds " << settings.seeds << " broken " << total.broken;
+  for (const auto& [kind, count] : total.flow_counts)
+    std::cout << " " << kind << "=" << count;
+  std::cout << "\n";
+  return total.broken == 0 ? 0 : 1;
 }
 
 }  // namespace
--- a/unittests/soak/soak_test.cc
+++ b/unittests/soak/soak_test.cc
@@ -9,6 +9,8 @@
 
 SoakOptions MakeOptions(uint32_t seed, uint8_t network) {
   SoakOptions options;
+  options.profile = SoakProfile::Find("usual").value();
+  options.profile.SetLoad(options.fleet);
   options.fleet.seed = seed;
   options.fleet.network = network;
   options.fleet.entries = 2;
