--- a/standins/packet_fleet/flow_clients.h
+++ b/standins/packet_fleet/flow_clients.h
@@ -148,6 +148,8 @@
   uint16_t next_port_ ABSL_GUARDED_BY(mutex_);
   int rate_factor_ ABSL_GUARDED_BY(mutex_) = 1;
   absl::Time next_ask_ ABSL_GUARDED_BY(mutex_);
+  /// Packets that a step reads have arrived after the step before.
+  absl::Time last_step_ ABSL_GUARDED_BY(mutex_);
   bool asking_ ABSL_GUARDED_BY(mutex_) = true;
   LoopThread thread_;
 };
--- a/standins/packet_fleet/soak_profile.cc
+++ b/standins/packet_fleet/soak_profile.cc
@@ -8,6 +8,8 @@
 /// Two slots of this service time make a burst exceed what targets can run.
 constexpr absl::Duration kBusyWork = absl::Milliseconds(50);
 constexpr size_t kBusySlots = 2;
+/// A large fleet is as busy with fewer requests for each target.
+constexpr absl::Duration kLargeWork = absl::Milliseconds(200);
 constexpr int kUsualKeptPercent = 10;
 constexpr int kKeptPercent = 25;
 
@@ -84,7 +86,7 @@
   fleet.kept_percent = overlapping ? kKeptPercent : kUsualKeptPercent;
   if (!overlapping)
     return;
-  fleet.work_time = kBusyWork;
+  fleet.work_time = name == "large" ? kLargeWork : kBusyWork;
   fleet.slots = kBusySlots;
 }
 
