Print the course of four flows of each kind of broken promise

A large run printed the course of its first twelve findings, nearly all of one kind, and none of the rare ones. Findings of packets at foreign targets now name how many packets the client sent meanwhile.

--- a/standins/packet_fleet/flow_judge.cc
+++ b/standins/packet_fleet/flow_judge.cc
@@ -17,8 +17,9 @@
 constexpr absl::Duration kLogDistance = absl::Milliseconds(500);
 /// Log lines of a flow that are printed, the last ones.
 constexpr size_t kMostLines = 40;
-/// Flows whose course is printed; the logs have the others.
-constexpr size_t kMostCourses = 12;
+/// Flows of each kind and reason whose course is printed; the logs have the
+/// others.
+constexpr size_t kMostCourses = 4;
 
 std::string TimeText(absl::Time time) {
   return absl::FormatTime("%H:%M:%E6S", time, absl::UTCTimeZone());
@@ -104,10 +105,10 @@
     if (!reported_.insert(absl::StrCat(kind, finding.flow.ToString())).second)
       return;
     const std::vector<const LogLine*> resets = ResetLines(finding);
-    ++verdict_.counts[resets.empty()
-                          ? kind
-                          : absl::StrCat(kind, ":", ReasonOf(*resets[0]))];
-    verdict_.broken.push_back(Describe(finding));
+    const std::string detail =
+        resets.empty() ? kind : absl::StrCat(kind, ":", ReasonOf(*resets[0]));
+    ++verdict_.counts[detail];
+    verdict_.broken.push_back(Describe(finding, detail));
   }
 
   /// Returns why the finding breaks nothing, or an empty text.
@@ -174,7 +175,7 @@
     return static_cast<size_t>(found - nodes.begin());
   }
 
-  std::string Describe(const FlowFinding& finding) {
+  std::string Describe(const FlowFinding& finding, const std::string& kind) {
     const auto name = [this](size_t node) { return fleet_.nodes()[node].name; };
     std::vector<std::string> entries;
     for (const Endpoint entry : finding.entries)
@@ -189,7 +190,10 @@
         finding.opened == absl::Time() ? "never" : TimeText(finding.opened),
         ", packets through ", absl::StrJoin(entries, ","),
         foreign.empty() ? "" : ", at targets of ", absl::StrJoin(foreign, ","));
-    if (++courses_ > kMostCourses)
+    if (finding.from != finding.to)
+      absl::StrAppend(&text, ", ", finding.sent, " packets sent since ",
+                      TimeText(finding.from));
+    if (++courses_[kind] > kMostCourses)
       return text;
     const auto found = lines_.find(finding.flow.ToString());
     if (found == lines_.end())
@@ -208,7 +212,8 @@
   const std::vector<FlowFinding> findings_;
   FlowLines lines_;
   absl::flat_hash_set<std::string> reported_;
-  size_t courses_ = 0;
+  /// By kind and reason: flows whose course was printed.
+  std::map<std::string, size_t> courses_;
   FlowVerdict verdict_;
 };
 
