Treat an agent that shuts down as missing in searches

Cause: agents of a large fleet report rarely, and one that restarts stays responsive in the views of the entries meanwhile. A search then still gave the packets of a flow to foreign targets while its own agent was away. Evidence: ForeignTargetsAreNotAskedWhileAnAgentIsMissing fails without it at its last check (known_only of a search while an agent leaves). Why it works: an agent announces its shutdown, and the view counts as incomplete until its next process reports or it expires.

--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -105,6 +105,10 @@
   /// answers of all agents prove that no agent holds a flow.
   bool IsComplete(ServiceUid service, absl::Time now) const;
 
+  /// Whether an agent of the service has announced that it shuts down. Its next
+  /// process may take a while to start.
+  bool IsAnyLeaving(ServiceUid service) const;
+
   /// Calls `visit` with each agent.
   template <typename Visitor>
   void ForEach(const Visitor& visit) const {
--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -305,6 +305,13 @@
       });
 }
 
+bool AgentDirectory::IsAnyLeaving(ServiceUid service) const {
+  const absl::Span<AgentView* const> agents = AgentsOfService(service);
+  return std::any_of(agents.begin(), agents.end(), [](const AgentView* a) {
+    return a->load.state == InstanceState::kLeaving;
+  });
+}
+
 absl::Duration AgentDirectory::ExpiryTimeout(ServiceUid service) const {
   absl::Duration longest = kAgentExpiryTimeout;
   for (const AgentView* agent : AgentsOfService(service))
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -318,7 +318,8 @@
     message.service = share.service;
     // While the agent that holds the flow may be missing, asking the others'
     // targets would give the packet to foreign targets only.
-    message.known_only = !agents_.IsComplete(share.service, now);
+    message.known_only = !agents_.IsComplete(share.service, now) ||
+                         agents_.IsAnyLeaving(share.service);
     const absl::Span<AgentView* const> agents =
         agents_.AgentsOfService(share.service);
     queried_.clear();
--- a/unittests/forwarding/reset_proof_test.cc
+++ b/unittests/forwarding/reset_proof_test.cc
@@ -375,6 +375,11 @@
       CPPUNIT_ASSERT(actions.to_entries.empty());
       entry.Report(3, LoadOf(0));
     }
+    // An agent with a long report interval counts as responsive while it
+    // restarts.
+    entry.Report(3, LoadOf(0, InstanceState::kLeaving));
+    entry.Client(flow.Request());
+    CPPUNIT_ASSERT(entry.actions().to_agents.at(0).message.known_only);
   }
 
  private:
