Take only a restart that the agent has seen for its first sight of a target

Cause: a report of another incarnation than the last one counted as a restart after the agent's start. The first report that a new agent process receives may be a delayed one of an earlier incarnation; the running one then counted as seen from its start, and the agent denied its open flows. Why it works: where the start of the target is known, it is compared with the start of the agent.

--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -36,8 +36,13 @@
     return TargetChange::kNone;
   const bool first = !reported_;
   const bool was_accepting = state(now) == InstanceState::kServing;
-  if (first || another)
-    seen_from_start_ = another || report.started > started_;
+  // A delayed report of an earlier incarnation may have been the first one, so
+  // a restart that the agent did not see proves nothing.
+  if (first || another) {
+    seen_from_start_ = report.started == absl::InfinitePast()
+                           ? another
+                           : report.started > started_;
+  }
   // The previous incarnation ran when it sent its last report.
   if (another)
     restarted_after_ = std::max(last_seen_, report.started - kMaxClockStep);
--- a/unittests/flow_proof/agent_proof_test.cc
+++ b/unittests/flow_proof/agent_proof_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(PacketOfAnEarlierFlowKeepsTheWaitingOpening);
   CPPUNIT_TEST(AgentThatCouldNotTrackAFlowAsksItsTarget);
   CPPUNIT_TEST(LateLeaveOfAnEarlierIncarnationIsIgnored);
+  CPPUNIT_TEST(RestartBeforeTheAgentProvesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -364,6 +365,23 @@
     CPPUNIT_ASSERT(agent_.is_target_gone(now_));
   }
 
+  // A delayed report of an earlier incarnation is the first one that an agent
+  // receives after its start. Guards against an agent that takes the running
+  // incarnation for one that it has seen from its start, and denies its flows.
+  void RestartBeforeTheAgentProvesNothing() {
+    TargetReport delayed = MakeReport(7, 1000);
+    delayed.started = now_ - absl::Minutes(20);
+    agent_.OnTargetReport(delayed, now_, actions_);
+    Pass(absl::Milliseconds(100));
+    TargetReport running = MakeReport(50, 2000);
+    running.started = now_ - absl::Minutes(10);
+    agent_.OnTargetReport(running, now_, actions_);
+    actions_.Clear();
+    agent_.OnForwarded(Forward(ForwardMode::kSearch), FlowPackets().Request(),
+                       kEntry, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_target.size());
+  }
+
  private:
   /// The first report of a target that started after its agent.
   void Start() { ReportFirst(now_); }
