Ignore the leave message of a target that has not reported yet

Cause: a leave message of an earlier incarnation that reached an agent after its start made the running target count as ended, which is proof against its flows, until the next report.

--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -68,7 +68,7 @@
 bool TargetState::OnLeave(absl::string_view id, int64_t started_unix_ms) {
   const bool earlier =
       started_unix_ms != 0 && started_unix_ms < started_unix_ms_;
-  if (reported_ && (id != id_ || earlier))
+  if (!reported_ || id != id_ || earlier)
     return false;
   left_ = true;
   return true;
--- a/unittests/flow_proof/agent_proof_test.cc
+++ b/unittests/flow_proof/agent_proof_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(AgentThatCouldNotTrackAFlowAsksItsTarget);
   CPPUNIT_TEST(LateLeaveOfAnEarlierIncarnationIsIgnored);
   CPPUNIT_TEST(RestartBeforeTheAgentProvesNothing);
+  CPPUNIT_TEST(LeaveBeforeTheFirstReportIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -382,6 +383,15 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_target.size());
   }
 
+  // A leave message of an earlier incarnation reaches an agent that has just
+  // started beside a running target. Guards against a target that counts as
+  // gone.
+  void LeaveBeforeTheFirstReportIsIgnored() {
+    agent_.OnTargetHealthy(4);
+    agent_.OnTargetLeft("i-0", 500);
+    CPPUNIT_ASSERT(!agent_.is_target_gone(now_));
+  }
+
  private:
   /// The first report of a target that started after its agent.
   void Start() { ReportFirst(now_); }
