Ask the targets of a route only if no agent of any of its services is missing

Cause: whether a search may give packets to targets was decided for each service of a route alone. If the flow's agent, of one service, was away, targets of the other services got its packets. The test of uncached returns covers the final reasons as well.

--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -314,12 +314,16 @@
   message.mode = ForwardMode::kSearch;
   message.kind = route.kind;
   message.packet = packet;
+  // While the agent that holds the flow may be missing, asking the others'
+  // targets would give the packet to foreign targets only.
+  message.known_only =
+      std::any_of(route.shares.begin(), route.shares.end(),
+                  [this, now](const RouteShare& share) {
+                    return !agents_.IsComplete(share.service, now) ||
+                           agents_.IsAnyLeaving(share.service);
+                  });
   for (const RouteShare& share : route.shares) {
     message.service = share.service;
-    // While the agent that holds the flow may be missing, asking the others'
-    // targets would give the packet to foreign targets only.
-    message.known_only = !agents_.IsComplete(share.service, now) ||
-                         agents_.IsAnyLeaving(share.service);
     const absl::Span<AgentView* const> agents =
         agents_.AgentsOfService(share.service);
     queried_.clear();
--- a/lib/forwarding/node_codec.cc
+++ b/lib/forwarding/node_codec.cc
@@ -23,6 +23,7 @@
 /// ForwardedPacket::known_only in the byte of the priority. Earlier releases
 /// ignore the priority of a search.
 constexpr uint8_t kKnownOnly = kMaxPriority + 1;
+static_assert((kMaxPriority & kKnownOnly) == 0, "the bits must not overlap");
 
 ByteWriter Begin(std::vector<uint8_t>& out, Type type) {
   out.clear();
--- a/unittests/forwarding/reset_proof_test.cc
+++ b/unittests/forwarding/reset_proof_test.cc
@@ -142,6 +142,7 @@
   CPPUNIT_TEST(EntryAwaitsFurtherAgentsAfterOneAppeared);
   CPPUNIT_TEST(AgentThatWasUnresponsiveMustAnswerBeforeAReset);
   CPPUNIT_TEST(ForeignTargetsAreNotAskedWhileAnAgentIsMissing);
+  CPPUNIT_TEST(ForeignTargetsAreNotAskedWhileAnotherServiceMissesAnAgent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -244,6 +245,11 @@
     entry.Return(1, FlowPackets().Opening(), ReturnReason::kTargetRefused,
                  ForwardMode::kOpening, kMaxDeclines);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+    for (const ReturnReason reason :
+         {ReturnReason::kNoSlotInTime, ReturnReason::kQueueFull}) {
+      entry.Return(1, FlowPackets().Opening(), reason);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+    }
   }
 
   // A target that does not answer an opening packet in time may still grant the
@@ -382,12 +388,37 @@
     CPPUNIT_ASSERT(entry.actions().to_agents.at(0).message.known_only);
   }
 
+  // The flows of one route go to two services, and an agent of the second one
+  // restarts. Guards against packets of its flows that reach targets of the
+  // first service only.
+  void ForeignTargetsAreNotAskedWhileAnotherServiceMissesAnAgent() {
+    TestEntry entry;
+    auto routes = std::make_shared<RouteTable>(*RoutesOf(2, true));
+    const ServiceUid other = MakeServiceUid("schemata");
+    routes->routes[FlowPackets().flow().service].shares = {{kService, 1},
+                                                           {other, 1}};
+    entry.forwarder().SetRoutes(routes);
+    entry.ReportAll(LoadOf(0));
+    AgentIdentity missing = IdentityOf(9);
+    missing.service = other;
+    entry.forwarder().agents().Update(missing, LoadOf(0), EndpointOf(9),
+                                      kStart);
+    entry.Pass(absl::Seconds(1));
+    entry.ReportAll(LoadOf(0));
+    entry.Client(FlowPackets().Request());
+    for (const EntryActions::ToAgent& search : entry.actions().to_agents)
+      CPPUNIT_ASSERT(search.message.known_only);
+  }
+
  private:
-  /// Searches the flow, which no agent holds. Returns the number of resets.
-  static size_t DenyByAll(TestEntry& entry, const FlowPackets& flow) {
+  /// Searches the flow, which none of the first `agents` holds. Returns the
+  /// number of resets.
+  static size_t DenyByAll(TestEntry& entry,
+                          const FlowPackets& flow,
+                          uint64_t agents = kAgents) {
     entry.Client(flow.Request());
     size_t resets = 0;
-    for (uint64_t uid = 1; uid <= kAgents; ++uid) {
+    for (uint64_t uid = 1; uid <= agents; ++uid) {
       entry.Return(uid, flow.Request(), ReturnReason::kNotHeld,
                    ForwardMode::kSearch);
       resets += entry.resets();
