Reset a flow only when agents that left or were lost could have answered

Cause: two absences still counted as proof that a flow is not open. An agent without target that had ended was not waited for, although a new agent and target may have started at its address and got the search. An agent that had been removed as unresponsive did not count any more, although its restart may take longer, or the entry itself may have been cut off. Why it works: the exemption of ended agents holds once they had time to answer, and after a loss the entry waits as after its own start. AgentThatEndedWithoutTargetDelaysNoReset and ResetAfterASearchNamesTheKnownAgents expect the reset with the client's next retransmission, since the first packet gives the agent time to answer.

--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -96,6 +96,10 @@
   /// InfinitePast if there was none. An agent that restarted is not added
   /// again.
   absl::Time last_appeared(ServiceUid service) const;
+  /// Returns the time at which an agent of the service whose target was not
+  /// down was last removed as unresponsive; InfinitePast if there was none. It
+  /// may still run, and its target hold flows.
+  absl::Time last_lost(ServiceUid service) const;
   /// Returns the time after which an agent of the service without a message is
   /// removed; the longest one of its agents.
   absl::Duration ExpiryTimeout(ServiceUid service) const;
@@ -120,6 +124,7 @@
   absl::flat_hash_map<InstanceUid, std::unique_ptr<AgentView>> agents_;
   absl::flat_hash_map<ServiceUid, std::vector<AgentView*>> of_service_;
   absl::flat_hash_map<ServiceUid, absl::Time> last_appeared_;
+  absl::flat_hash_map<ServiceUid, absl::Time> last_lost_;
 };
 
 /// Maximum number of placement candidates of a flow in the local data centre,
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -119,12 +119,17 @@
   /// flow are queried first, then all agents.
   struct Search {
     absl::Time started;
-    bool all_queried = false;
+    /// Time from which on all agents are queried.
+    absl::Time all_queried_at = absl::InfiniteFuture();
     absl::flat_hash_set<InstanceUid> queried;
     /// Queried agents that have not answered.
     absl::flat_hash_set<InstanceUid> awaited;
     /// Agents that answered that they do not hold the flow.
     absl::flat_hash_set<InstanceUid> denied;
+
+    bool all_queried() const {
+      return all_queried_at != absl::InfiniteFuture();
+    }
   };
 
   /// Returns the attempt of the flow of an opening packet.
@@ -168,6 +173,8 @@
                   absl::Span<const uint8_t> packet,
                   absl::Time now,
                   EntryActions& actions);
+  /// Extends the search from the candidates to all agents.
+  static void QueryAll(Search& search, absl::Time now);
   /// Sends `packet` to the agents of the current stage of the search.
   void SendSearch(Search& search,
                   const Route& route,
--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -267,8 +267,11 @@
         agents.begin(), agents.end(), [now](const AgentView* agent) {
           return now - agent->last_seen < ExpiryTimeoutOf(*agent);
         });
-    for (auto agent = unresponsive; agent != agents.end(); ++agent)
+    for (auto agent = unresponsive; agent != agents.end(); ++agent) {
       removed.push_back(**agent);
+      if ((*agent)->load.state != InstanceState::kDown)
+        last_lost_[service] = now;
+    }
     agents.erase(unresponsive, agents.end());
   }
   for (const AgentView& agent : removed)
@@ -305,6 +308,11 @@
       });
 }
 
+absl::Time AgentDirectory::last_lost(ServiceUid service) const {
+  const auto lost = last_lost_.find(service);
+  return lost == last_lost_.end() ? absl::InfinitePast() : lost->second;
+}
+
 bool AgentDirectory::IsAnyLeaving(ServiceUid service) const {
   const absl::Span<AgentView* const> agents = AgentsOfService(service);
   return std::any_of(agents.begin(), agents.end(), [](const AgentView* a) {
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -281,7 +281,7 @@
   if (found != searches_.end()) {
     // The candidates do not hold the flow, or one of them is unresponsive.
     if (now - found->second.started > kCandidatesAnswerTime)
-      found->second.all_queried = true;
+      QueryAll(found->second, now);
     // All agents have answered an earlier packet, but their answers did not
     // prove that no agent holds the flow.
     if (found->second.awaited.empty()) {
@@ -293,7 +293,7 @@
   }
   if (searches_.size() >= kMaxSearches) {
     Search uncounted;
-    uncounted.all_queried = true;
+    QueryAll(uncounted, now);
     SendSearch(uncounted, route, flow, packet, now, actions);
     return;
   }
@@ -304,6 +304,10 @@
   SendSearch(search, route, flow, packet, now, actions);
 }
 
+void EntryForwarder::QueryAll(Search& search, absl::Time now) {
+  search.all_queried_at = std::min(search.all_queried_at, now);
+}
+
 void EntryForwarder::SendSearch(Search& search,
                                 const Route& route,
                                 const FlowId& flow,
@@ -327,7 +331,7 @@
     const absl::Span<AgentView* const> agents =
         agents_.AgentsOfService(share.service);
     queried_.clear();
-    if (search.all_queried)
+    if (search.all_queried())
       queried_.assign(agents.begin(), agents.end());
     else
       AppendCandidates(agents, StableFlowHash(flow), data_centre_,
@@ -339,7 +343,7 @@
       // The search does not wait for an unresponsive candidate before it
       // queries all agents, nor for an agent that ended without target.
       const bool may_hold =
-          search.all_queried && agent->load.state != InstanceState::kDown;
+          search.all_queried() && agent->load.state != InstanceState::kDown;
       const bool expected = may_hold || IsResponsive(*agent, now);
       if (search.queried.insert(agent->identity.uid).second && expected)
         search.awaited.insert(agent->identity.uid);
@@ -421,8 +425,8 @@
   const bool awaited = search.awaited.erase(returned.agent.uid) > 0;
   if (!awaited || !search.awaited.empty())
     return;
-  if (!search.all_queried) {
-    search.all_queried = true;
+  if (!search.all_queried()) {
+    QueryAll(search, now);
     const size_t queried = search.queried.size();
     SendSearch(search, route, flow, returned.packet, now, actions);
     if (search.queried.size() > queried)
@@ -463,16 +467,20 @@
                                    const Route& route,
                                    absl::Time now) const {
   for (const RouteShare& share : route.shares) {
-    // An agent that restarts together with this entry may be missing until its
-    // expiry timeout.
-    if (now - started_ < agents_.ExpiryTimeout(share.service) ||
+    // An agent that restarts, or was cut off together with this entry, may be
+    // missing until its expiry timeout.
+    const absl::Time since =
+        std::max(started_, agents_.last_lost(share.service));
+    if (now - since < agents_.ExpiryTimeout(share.service) ||
         !agents_.IsComplete(share.service, now)) {
       return false;
     }
     for (const AgentView* agent : agents_.AgentsOfService(share.service)) {
+      // A target and its agent may have started at this address since, and
+      // answer the search.
       const bool ended = agent->load.state == InstanceState::kDown &&
                          !IsResponsive(*agent, now) &&
-                         search.queried.contains(agent->identity.uid);
+                         now - search.all_queried_at > kCandidatesAnswerTime;
       if (!ended && !search.denied.contains(agent->identity.uid))
         return false;
     }
--- a/unittests/flow_proof/agent_restart_test.cc
+++ b/unittests/flow_proof/agent_restart_test.cc
@@ -130,6 +130,10 @@
     site.ReportTarget(0, MakeReport(2));
     site.ReportAgent(0, 0);
     site.Send(0, flow_.Request());
+    // The agent gets time to answer, in case that it runs again.
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, site.resets());
+    site.Pass(absl::Milliseconds(200));
+    site.Send(0, flow_.Request());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, site.resets());
   }
 
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -459,17 +459,25 @@
     entry_.agents().Update(Identity(1, kLocalDataCentre, 2), Load(0),
                            EndpointOf(1), now_);
     const FlowPackets flow;
-    Client(flow.Request());
-    for (uint64_t uid = 1; uid <= 3; ++uid)
-      Return(uid, flow.Request(), ReturnReason::kNotHeld, ForwardMode::kSearch);
+    constexpr absl::Duration kRetransmission = absl::Milliseconds(200);
+    for (const absl::Duration after : {absl::ZeroDuration(), kRetransmission}) {
+      now_ += after;
+      Client(flow.Request());
+      for (uint64_t uid = 1; uid <= 3; ++uid) {
+        Return(uid, flow.Request(), ReturnReason::kNotHeld,
+               ForwardMode::kSearch);
+      }
+    }
     const Decision& reset = actions_.decisions.at(0);
     CPPUNIT_ASSERT(reset.kind == DecisionKind::kFlowReset);
     CPPUNIT_ASSERT_EQUAL(uint32_t{9001}, reset.sequence);
     const auto& search = std::get<SearchEvidence>(reset.evidence);
     CPPUNIT_ASSERT_EQUAL(uint32_t{4}, search.queried);
     CPPUNIT_ASSERT_EQUAL(uint32_t{4}, search.known);
-    CPPUNIT_ASSERT(search.uptime == kAgentExpiryTimeout + kAgentSuspectTimeout);
-    CPPUNIT_ASSERT(search.newest_agent == kAgentSuspectTimeout);
+    CPPUNIT_ASSERT(search.uptime == kAgentExpiryTimeout + kAgentSuspectTimeout +
+                                        kRetransmission);
+    CPPUNIT_ASSERT(search.newest_agent ==
+                   kAgentSuspectTimeout + kRetransmission);
   }
 
   // Guards against a flow that opened at two targets and leaves no trace in
--- a/unittests/forwarding/reset_proof_test.cc
+++ b/unittests/forwarding/reset_proof_test.cc
@@ -143,6 +143,8 @@
   CPPUNIT_TEST(AgentThatWasUnresponsiveMustAnswerBeforeAReset);
   CPPUNIT_TEST(ForeignTargetsAreNotAskedWhileAnAgentIsMissing);
   CPPUNIT_TEST(ForeignTargetsAreNotAskedWhileAnotherServiceMissesAnAgent);
+  CPPUNIT_TEST(RemovedAgentIsNoProof);
+  CPPUNIT_TEST(AgentThatStartsWhereOneEndedMayAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -410,6 +412,44 @@
       CPPUNIT_ASSERT(search.message.known_only);
   }
 
+  // A restart takes longer than an agent is kept in the directory. Guards
+  // against the reset of a flow at its target, which kept running.
+  void RemovedAgentIsNoProof() {
+    TestEntry entry;
+    entry.ReportAll(LoadOf(0, InstanceState::kLeaving));
+    const FlowPackets flow;
+    for (int second = 1; second <= 10; ++second) {
+      entry.Pass(absl::Seconds(1));
+      entry.Report(1, LoadOf(0));
+      entry.Report(2, LoadOf(0));
+      const absl::Time now = kStart + absl::Seconds(second);
+      entry.forwarder().agents().RemoveUnresponsive(now);
+      entry.forwarder().ExpireIdle(now);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, DenyByAll(entry, flow, 2));
+    }
+    entry.Pass(kAgentExpiryTimeout);
+    entry.forwarder().ExpireIdle(kStart + absl::Seconds(10) +
+                                 kAgentExpiryTimeout);
+    entry.Report(1, LoadOf(0));
+    entry.Report(2, LoadOf(0));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, DenyByAll(entry, flow, 2));
+  }
+
+  // A target and its agent start at the address of others that ended. Guards
+  // against a reset before the new agent, which holds the flow, can answer.
+  void AgentThatStartsWhereOneEndedMayAnswer() {
+    TestEntry entry;
+    entry.ReportAll(LoadOf(0));
+    entry.Report(3, LoadOf(0, InstanceState::kDown));
+    entry.Pass(absl::Seconds(1));
+    entry.Report(1, LoadOf(0));
+    entry.Report(2, LoadOf(0));
+    const FlowPackets flow;
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, DenyByAll(entry, flow, 2));
+    entry.Pass(absl::Milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, DenyByAll(entry, flow, 2));
+  }
+
  private:
   /// Searches the flow, which none of the first `agents` holds. Returns the
   /// number of resets.
