--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -104,9 +104,9 @@
   /// removed; the longest one of its agents.
   absl::Duration ExpiryTimeout(ServiceUid service) const;
 
-  /// Whether every agent of the service is responsive or down, and none has
-  /// appeared for so long that further ones are not expected. Only then do the
-  /// answers of all agents prove that no agent holds a flow.
+  /// Whether every known agent of the service is responsive or down, and none
+  /// has appeared for so long that further ones are not expected. Also true
+  /// without any agent. A condition for the proof that no agent holds a flow.
   bool IsComplete(ServiceUid service, absl::Time now) const;
 
   /// Whether an agent of the service has announced that it shuts down. Its next
--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -62,7 +62,7 @@
   kSeenFromStart = 0,   ///< It knows all flows of the target's incarnation.
   kTargetDown = 1,      ///< The target is absent or has ended.
   kTargetReturned = 2,  ///< The target returned a packet of the flow.
-  kOtherGrant = 3,      ///< The client accepted the grant of another target.
+  kOtherGrant = 3,      ///< The packet acknowledges another target's sequence.
 };
 inline constexpr size_t kNotHeldEvidences = 4;
 
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -122,7 +122,7 @@
     /// Time from which on all agents are queried.
     absl::Time all_queried_at = absl::InfiniteFuture();
     absl::flat_hash_set<InstanceUid> queried;
-    /// Queried agents that have not answered.
+    /// Queried agents that are expected to answer and have not done so.
     absl::flat_hash_set<InstanceUid> awaited;
     /// Agents that answered that they do not hold the flow.
     absl::flat_hash_set<InstanceUid> denied;
@@ -203,9 +203,9 @@
               absl::string_view reason,
               absl::Time now,
               EntryActions& actions) const;
-  /// Removes the flow and relies on the client's retransmission if an agent may
-  /// have opened the flow; a reset would be untrue then. Returns whether it did
-  /// so.
+  /// Decides whether to refuse the client. If an agent may have opened the
+  /// flow, a reset would be untrue: removes the flow from the cache, relies on
+  /// the client's retransmission, and returns true.
   bool DeferRefusal(const FlowId& flow, absl::Time now, EntryActions& actions);
   /// Adds the decision to drop an opening packet.
   void RecordDeferred(const FlowId& flow,
--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -98,8 +98,9 @@
   RequestKind kind = RequestKind::kNonIdempotent;
   /// 0 is the most urgent. At most kMaxPriority.
   uint8_t priority = 0;
-  /// kSearch: an agent that cannot tell whether its target holds the flow drops
-  /// the packet instead of asking the target.
+  /// kSearch: the agents answer from what they know. One that cannot tell
+  /// whether its target holds the flow drops the packet instead of passing it
+  /// to the target.
   bool known_only = false;
   /// Latency objective, in milliseconds since the client first sent the opening
   /// packet.
--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -52,8 +52,8 @@
   void OnPacket(absl::Time now);
 
   /// Returns kServing, kEjected (unresponsive or not known yet), kDraining or
-  /// kDown (absent or ended). kDown is proof that no flow is open at the
-  /// target.
+  /// kDown (absent or ended). Entries take kDown for proof that no flow is open
+  /// at the target.
   InstanceState state(absl::Time now) const;
   /// Whether a report or a health check has shown that the target runs.
   bool is_known() const { return known_; }
@@ -61,7 +61,7 @@
   const std::string& id() const { return id_; }
   /// Earliest possible start of the incarnation that the last report made known
   /// as a restart. Packets that the target sent before belong to an earlier
-  /// one.
+  /// one. A report of the earlier one counts with the time of its arrival.
   absl::Time restarted_after() const { return restarted_after_; }
   /// Whether this incarnation started after the agent. All its flows then
   /// passed through this process of the agent, which knows them.
