Count held-back opening packets by reason

Cause: refusals without proof are deferrals now, of which the log keeps 20 lines a second and the metrics only the sum. Under overload an operator could not tell a missed copy (copy_elsewhere) from an unresponsive agent (agent_silent) or a route that is not adopted yet (no_route). Evidence: DeferralsBeyondTheLogAreCountedByReason failed before. skylarkshunt_refusals_total has a further value of `decision`, opening_held_back.

--- a/lib/node/decision_log.cc
+++ b/lib/node/decision_log.cc
@@ -145,6 +145,7 @@
       RefusalCounter(decision).Increment();
       return;
     case DecisionKind::kRefused:
+    case DecisionKind::kDeferred:
     case DecisionKind::kFlowReset:
       RefusalCounter(decision).Increment();
       return;
@@ -158,7 +159,8 @@
   if (counter == nullptr) {
     counter = &counters_.Find(
         "skylarkshunt_refusals_total",
-        "Flows refused, cut or given back, by reason.", MetricType::kCounter,
+        "Flows refused, held back, cut or given back, by reason.",
+        MetricType::kCounter,
         absl::StrCat("decision=\"", DecisionName(decision.kind), "\",reason=\"",
                      decision.reason, "\""));
   }
--- a/unittests/node/decision_log_test.cc
+++ b/unittests/node/decision_log_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(ResetNamesWhatItWasBasedOn);
   CPPUNIT_TEST(SecondHolderIsAnEventOfItsOwn);
   CPPUNIT_TEST(OtherLinesHaveNoFurtherFields);
+  CPPUNIT_TEST(DeferralsBeyondTheLogAreCountedByReason);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -121,6 +122,23 @@
     CPPUNIT_ASSERT(!LastOfHistory().contains("sequence"));
   }
 
+  // Guards against an overload in which the log does not show why opening
+  // packets are held back.
+  void DeferralsBeyondTheLogAreCountedByReason() {
+    Decision decision =
+        MakeDecision(DecisionKind::kDeferred, OpeningEvidence());
+    decision.reason = "copy_elsewhere";
+    const CapturedLog captured;
+    constexpr size_t kDeferrals = 100;
+    for (size_t i = 0; i < kDeferrals; ++i)
+      log_.Record(kStart, decision);
+    CPPUNIT_ASSERT(captured.lines().size() < kDeferrals);
+    CPPUNIT_ASSERT(absl::StrContains(
+        counters_.ToText(),
+        "skylarkshunt_refusals_total{decision=\"opening_held_back\","
+        "reason=\"copy_elsewhere\"} 100"));
+  }
+
  private:
   void ExpectLine(const Decision& decision,
                   const std::string& start,
