Record a refusal that the entry drops because it does not know the flow

Cause: the final return of an opening packet whose flow is not in the cache left no trace, so that the course of such a flow ended at its agent. Evidence: UncachedForcedReturnIsNotRefused failed before, without a decision. What is sent does not change. A comment states what happens beyond the limit of dropped routes.

--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -27,6 +27,7 @@
 /// opening packets.
 constexpr absl::Duration kSettleTime = absl::Seconds(2);
 /// Maximum number of recorded addresses whose route a configuration dropped.
+/// Packets of the flows of further ones are dropped instead of reset.
 constexpr size_t kMaxDroppedRoutes = 16'384;
 /// Time since an agent's last message after which a retransmitted opening
 /// packet goes to another agent, as a share of `suspect_timeout`. It is below 1
@@ -394,6 +395,8 @@
     // entry may have placed a retransmission.
     if (placed != flows_.end())
       RefuseReturned(returned, flow, now, actions);
+    else
+      RecordDeferred(flow, "not_cached", now, actions);
     return;
   }
   if (IsForced(returned)) {
--- a/unittests/forwarding/reset_proof_test.cc
+++ b/unittests/forwarding/reset_proof_test.cc
@@ -251,6 +251,8 @@
          {ReturnReason::kNoSlotInTime, ReturnReason::kQueueFull}) {
       entry.Return(1, FlowPackets().Opening(), reason);
       CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+      CPPUNIT_ASSERT(entry.actions().decisions.at(0).kind ==
+                     DecisionKind::kDeferred);
     }
   }
 
