--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import ctypes
 import ipaddress
 import json
 import os
@@ -128,7 +127,7 @@
 
 
 async def serve(ip, port, handler):
-    """Starts an HTTP server; `handler(method, target, body)` returns (status, value)."""
+    """Starts an HTTP server; `handler(method, target, body)` returns (status, value), or None for no answer."""
 
     async def connection(reader, writer):
         try:
@@ -138,7 +137,12 @@
                     break
                 first, headers, body = message
                 method, target, _ = first.split(" ", 2)
-                status, value = await handler(method, target, body)
+                result = await handler(method, target, body)
+                if result is None:
+                    # A connection on which a response is lost returns nothing further.
+                    await reader.read()
+                    break
+                status, value = result
                 payload = b"" if value is None else json.dumps(value).encode()
                 close = headers.get("connection", "").lower() == "close"
                 writer.write(("HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%s\r\n" %
@@ -189,9 +193,20 @@
         self.objects = {}
         self.events = []
         self.changed = asyncio.Event()
+        self.silent = False
 
     async def start(self, ip, port):
-        self.server = await serve(ip, port, self.handle)
+        self.server = await serve(ip, port, self.answer)
+
+    def set_silent(self, silent):
+        """While silent, no call is answered, and what would be answered then never is."""
+        self.silent = silent
+
+    async def answer(self, method, target, body):
+        if self.silent:
+            return None
+        result = await self.handle(method, target, body)
+        return None if self.silent else result
 
     def put(self, kind, name, spec, status=None):
         self.rev += 1
@@ -260,64 +275,6 @@
                 pass
 
 
-def drop_segments(sock):
-    """The kernel drops all that arrives for this socket, keep-alive probes included."""
-    reject = ctypes.create_string_buffer(struct.pack("<HBBI", 6, 0, 0, 0))
-    program = struct.pack("@HP", 1, ctypes.addressof(reject))
-    sock.setsockopt(socket.SOL_SOCKET, 26, program)  # SO_ATTACH_FILTER
-
-
-class Proxy:
-    """The way of the nodes to the store. Open connections go silent on demand."""
-
-    def __init__(self):
-        self.generation = 0
-        self.connections = set()
-
-    async def start(self, ip, port, to):
-        async def connection(reader, writer):
-            generation = self.generation
-            self.connections.add(writer)
-            out_writer = None
-            try:
-                out_reader, out_writer = await asyncio.open_connection(*to)
-                await asyncio.gather(self.pass_on(reader, out_writer, generation),
-                                     self.pass_on(out_reader, writer, generation))
-            except OSError:
-                pass
-            finally:
-                self.connections.discard(writer)
-                writer.close()
-                if out_writer is not None:
-                    out_writer.close()
-
-        self.server = await asyncio.start_server(connection, ip, port)
-
-    async def pass_on(self, reader, writer, generation):
-        try:
-            while True:
-                data = await reader.read(65536)
-                if generation != self.generation:
-                    if not data:
-                        return
-                    continue
-                if not data:
-                    break
-                writer.write(data)
-                await writer.drain()
-            writer.write_eof()
-        except (ConnectionError, OSError, RuntimeError):
-            pass
-
-    def silence_open_connections(self):
-        """No byte passes on a connection that is open now; new ones work."""
-        self.generation += 1
-        if os.environ.get("DROP_SEGMENTS"):
-            for writer in self.connections:
-                drop_segments(writer.get_extra_info("socket"))
-        return len(self.connections)
-
-
 # ---------------------------------------------------------------- backends
 
 
@@ -790,11 +747,10 @@
 
     async def start(self, entries, backends, routes, services, limits=None, clients=4):
         """Starts everything; `backends` is a list of services, one for each backend."""
-        store_ip, proxy_ip = self.host(), self.host()
-        self.store, self.proxy = Store(), Proxy()
+        store_ip = self.host()
+        self.store = Store()
         await self.store.start(store_ip, self.ports["store"])
-        await self.proxy.start(proxy_ip, self.ports["store"], (store_ip, self.ports["store"]))
-        self.store_address = "%s:%d" % (proxy_ip, self.ports["store"])
+        self.store_address = "%s:%d" % (store_ip, self.ports["store"])
         self.version = self.random.randint(3, 9)
         self.routes, self.services = routes, services
         self.limits = limits or {"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000,
