--- a/review/standins/route_change.py
+++ b/review/standins/route_change.py
@@ -1,4 +1,4 @@
-"""Rule FLOW: a route moves to another service while flows of it are open."""
+"""Rule FLOW: a route no longer names a service at whose backends its flows are open."""
 
 import asyncio
 import signal
@@ -27,7 +27,10 @@
 
 async def case(fleet, trouble):
     old, new = "kodiva4", "marun7b"
-    routes = [route("r-shop", "198.18.0.1", 8443, old), route("r-item", "198.18.0.2", 8443, new)]
+    shop = route("r-shop", "198.18.0.1", 8443, None)
+    del shop["service"]
+    routes = [dict(shop, split=[{"service": old, "weight": 90}, {"service": new, "weight": 10}]),
+              route("r-item", "198.18.0.2", 8443, new)]
     await fleet.start(2, [old, old, new, new], routes, [old, new])
     await fleet.ready()
     # The entries have run for longer than any time in which they hold back.
@@ -47,7 +50,7 @@
     # The entry that most flows use is stopped as planned in both runs; its flows
     # come to the other entry. The routes change in the disturbed run only.
     if trouble:
-        fleet.configure([dict(routes[0], service=new), routes[1]])
+        fleet.configure([dict(shop, service=new), routes[1]])
     await asyncio.sleep(5)
     used = {}
     for flow in flows:
