--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -859,6 +859,9 @@
 
     async def run():
         nonlocal fleet
+        # A script that is stopped from outside ends its processes, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         fleet = Fleet(folder, int(os.environ.get("SEED", "1")))
         fleet.record("disruption:", "yes" if trouble else "no (TROUBLE=0)")
         try:
@@ -876,7 +879,7 @@
             fleet.record("held")
             print("held")
         code = 1 if broken else 0
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         print("the case could not run:", repr(error))
         if fleet is not None:
             fleet.record("the case could not run:", repr(error))
