--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -37,6 +37,9 @@
 SYN_TIMEOUT = 1.4
 RETRANSMISSION, LONGEST_RETRANSMISSION = 0.2, 1.6
 BACKEND_RETRANSMISSIONS = 8
+# `platform.history-s`, `platform.value-bytes`.
+HISTORY_S = 20
+VALUE_BYTES = 1_048_576
 # Time for which a client sends its FIN again.
 FIN_LIMIT = 4.0
 
@@ -143,7 +146,7 @@
                     await reader.read()
                     break
                 status, value = result
-                payload = b"" if value is None else json.dumps(value).encode()
+                payload = b"" if value is None else json.dumps(value, separators=(",", ":")).encode()
                 close = headers.get("connection", "").lower() == "close"
                 writer.write(("HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%s\r\n" %
                               (status, len(payload), "Connection: close\r\n" if close else "")).encode() + payload)
@@ -192,6 +195,7 @@
         self.rev = 100
         self.objects = {}
         self.events = []
+        self.history_from = self.rev  # changes up to this revision are forgotten
         self.changed = asyncio.Event()
         self.silent = False
 
@@ -219,7 +223,9 @@
         return item
 
     def record(self, kind, item, removed):
-        self.events.append((self.rev, kind, {"object": item, "removed": removed}))
+        self.events.append((self.rev, kind, {"object": item, "removed": removed}, time.monotonic()))
+        while self.events and self.events[0][3] < time.monotonic() - HISTORY_S:
+            self.history_from = self.events.pop(0)[0]
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -265,7 +271,9 @@
         since = int(query["watch"])
         end = time.monotonic() + min(int(query.get("wait-ms", "0")), 30_000) / 1000
         while True:
-            events = [event for rev, of, event in self.events if of == kind and rev > since]
+            if since < self.history_from:
+                return 410, None
+            events = [event for rev, of, event, _ in self.events if of == kind and rev > since]
             left = end - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "current-rev": self.rev}
@@ -787,12 +795,16 @@
         """Writes the next version of the configuration; the answer of the store confirms it."""
         self.routes = routes
         self.version += self.random.randint(1, 4)
-        self.store.put("config", "main", {"version": self.version, "routes": routes, "services": [
+        value = {"version": self.version, "routes": routes, "services": [
             {"name": name, "health-path": "/health", "max-conns": 2000, "proto": "h1", "tls": False}
-            for name in self.services], "limits": self.limits})
-        self.record("operator: version", self.version, "confirmed, routes",
-                    json.dumps([{"name": r["name"], "service": r.get("service"), "split": r.get("split")}
-                                for r in routes]))
+            for name in self.services], "limits": self.limits}
+        size = len(json.dumps(value, separators=(",", ":")))
+        if size > VALUE_BYTES:
+            raise CannotRun("the store takes no value of %d bytes" % size)
+        self.store.put("config", "main", value)
+        shown = [{"name": r["name"], "service": r.get("service"), "split": r.get("split")} for r in routes[:2]]
+        self.record("operator: version", self.version, "confirmed,", size, "bytes,", len(routes), "routes,",
+                    json.dumps(shown), "and so on" if len(routes) > 2 else "")
 
     def opened(self, key, backend):
         self.flow_owner[key] = backend
