--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -725,9 +725,8 @@
 
 
 class Fleet:
-    def __init__(self, folder, seed):
-        self.case = Path(folder)
-        self.record = Record(self.case / "record.txt")
+    def __init__(self, record_path, seed):
+        self.record = Record(record_path)
         self.random = random.Random(seed)
         self.folder = Path(tempfile.mkdtemp(prefix="skylarkshunt-review-"))
         self.zone = "zone-a"
@@ -864,7 +863,7 @@
             "target-latency-ms": target_ms, "priority": priority, "service": service, "max-attempts": 2}
 
 
-def main(case, folder):
+def main(case, record_path):
     """Runs `case(fleet, trouble)`, which returns the list of broken rules. Exit codes: 0, 1, 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     fleet = None
@@ -874,7 +873,7 @@
         # A script that is stopped from outside ends its processes, too.
         task = asyncio.current_task()
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-        fleet = Fleet(folder, int(os.environ.get("SEED", "1")))
+        fleet = Fleet(record_path, int(os.environ.get("SEED", "1")))
         fleet.record("disruption:", "yes" if trouble else "no (TROUBLE=0)")
         try:
             return await asyncio.wait_for(case(fleet, trouble), 110)
