Find a lost watch of the configuration within the limit of a change

Cause: a watch waits for 10 s and its answer may take 1.5 s, so that a call which the store lost is trusted for 11.5 s. The retried call waits as long, and all entries watch in step. Evidence: SKS5153 of all entries is exactly 11.5 s after the start of their watches, SKS5151 of the new revision is missing everywhere.

WatchSchedule derives the wait from the limit of a change in the settings: wait, answer and the next call fit into it.

Related paths: an entry whose list of nodes fails, or that is alone, did not watch at all; a change that the data thread refused was skipped; and changes beyond 4 MiB failed at the same position without end.

--- a/include/skylarkshunt/forwarding/node_directory.h
+++ b/include/skylarkshunt/forwarding/node_directory.h
@@ -71,6 +71,9 @@
   /// Returns the number of present entries other than this node.
   size_t CountPresentEntries(absl::Time now) const;
   size_t CountPresent(absl::Time now) const;
+  /// Returns the number of present entries that precede this node in an order
+  /// that is the same on all nodes and does not follow the data centres.
+  size_t CountPrecedingEntries(absl::Time now) const;
 
  private:
   struct Known {
--- a/include/skylarkshunt/node/node_options.h
+++ b/include/skylarkshunt/node/node_options.h
@@ -49,6 +49,9 @@
   /// Addresses of entries. They are hints and may be outdated or down.
   std::vector<uint32_t> seeds;
   Endpoint store;
+  /// Time within which a change of the configuration must be in force, also
+  /// after the store was unavailable.
+  absl::Duration change_limit = absl::Seconds(3);
   /// Time between two reports of a target.
   absl::Duration target_report_interval = absl::Milliseconds(1200);
   /// Rate of the instance's link, in bytes per second; 0 if unknown.
--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -71,7 +71,8 @@
   virtual Result<Revision> Remove(absl::string_view key, Revision expected) = 0;
 
   /// Waits up to `wait` for changes after `after`. Errors: kNotFound when the
-  /// changes are no longer held and a list is needed, else as Read().
+  /// changes are no longer held and a list is needed, kOversizedMessage when
+  /// they exceed an answer and a list is needed, else as Read().
   virtual Result<WatchBatch> Watch(absl::string_view prefix,
                                    Revision after,
                                    absl::Duration wait) = 0;
--- a/lib/forwarding/node_directory.cc
+++ b/lib/forwarding/node_directory.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "skylarkshunt/base/hash.h"
+
 namespace skylarkshunt {
 namespace {
 
@@ -198,6 +200,16 @@
       }));
 }
 
+size_t NodeDirectory::CountPrecedingEntries(absl::Time now) const {
+  const uint64_t self = StableHash(uint64_t{address_}, 0);
+  return static_cast<size_t>(
+      std::count_if(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+        return node.second.role == Role::kEntry &&
+               IsPresent(node.second, now) &&
+               StableHash(uint64_t{node.first}, 0) < self;
+      }));
+}
+
 size_t NodeDirectory::CountPresent(absl::Time now) const {
   return static_cast<size_t>(std::count_if(
       nodes_.begin(), nodes_.end(),
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -21,6 +21,7 @@
 #include "skylarkshunt/net/poller.h"
 #include "skylarkshunt/platform/platform_client.h"
 #include "skylarkshunt/process/backoff.h"
+#include "skylarkshunt/process/watch_schedule.h"
 
 namespace skylarkshunt {
 namespace {
@@ -42,10 +43,7 @@
 
 /// Kind of the objects that hold the nodes' addresses.
 constexpr absl::string_view kNodesPrefix = "nodes/";
-/// Wait time of a watch. Keep-alive probes check the connection meanwhile. A
-/// longer wait only delays the detection of a store that stops answering.
-constexpr absl::Duration kWatchWait = absl::Seconds(10);
-/// Timeout of a call; a watch adds its wait time to it.
+/// Timeout of a call. That of a watch follows from WatchSchedule.
 constexpr absl::Duration kStoreTimeout = absl::Milliseconds(1500);
 /// Timeout of a call while there is no configuration. It is short because an
 /// unresponsive store must be queried again soon after it recovers. A slow
@@ -81,11 +79,14 @@
 class StoreFollower : public ConfigurationFollower {
  public:
   StoreFollower(const Options& options,
+                const WatchSchedule& watches,
                 std::unique_ptr<PlatformClient> store,
+                std::unique_ptr<PlatformClient> watch,
                 std::unique_ptr<PlatformClient> first)
       : options_(options),
         prefix_(options.key.substr(0, options.key.find('/') + 1)),
         store_(std::move(store)),
+        watch_store_(std::move(watch)),
         initial_store_(std::move(first)),
         calls_(options.counters->Find("skylarkshunt_store_calls_total",
                                       "Calls to the object store.")),
@@ -105,8 +106,12 @@
         parts_received_(options.counters->Find(
             "skylarkshunt_configuration_parts_received_total",
             "Parts of the configuration that other nodes sent.")),
+        lost_watches_(options.counters->Find(
+            "skylarkshunt_store_watches_lost_total",
+            "Watches of the configuration that were not answered.")),
         notices_(kMaxRevisionNotices),
         download_(options.random_seed),
+        watches_(watches),
         backoff_(kInitialRetryDelay, kMaxRetryDelay, options.random_seed),
         budget_(options.node.link_bytes_per_second) {}
 
@@ -195,8 +200,9 @@
   }
 
   /// Puts a configuration into force if it is newer than the current one.
-  /// `packed` is its compressed form if a peer sent it.
-  void Adopt(Revision revision,
+  /// `packed` is its compressed form if a peer sent it. Returns false if the
+  /// data thread cannot take it now, so that it must be read again.
+  bool Adopt(Revision revision,
              Result<RouteTable> table,
              absl::string_view source,
              absl::optional<PackedDocument> packed) {
@@ -205,14 +211,14 @@
           .Field("revision", ToNumber(revision))
           .Field("source", source)
           .Field("error", table.error().ToString());
-      return;
+      return true;
     }
     absl::MutexLock lock(&mutex_);
     if (ToNumber(revision) <= ToNumber(revision_))
-      return;
+      return true;
     auto routes = std::make_shared<const RouteTable>(std::move(table).value());
     if (!options_.command(ConfigurationInForce{revision, routes}))
-      return;  // The queue is full; the next watch or notice repeats it.
+      return false;
     revision_ = revision;
     routes_ = routes;
     if (packed.has_value())
@@ -223,14 +229,21 @@
         .Field("version", routes->version)
         .Field("routes", routes->routes.size())
         .Field("source", source);
+    return true;
   }
 
-  void AdoptRecord(const ConfigRecord& record) {
-    if (record.key == options_.key && !record.deleted &&
-        IsNewer(record.revision)) {
-      Adopt(record.revision, options_.read(record.body), "store",
-            absl::nullopt);
+  /// Puts the configuration among `records` into force. Returns false if it
+  /// must be read again.
+  bool AdoptRecords(absl::Span<const ConfigRecord> records) {
+    bool adopted = true;
+    for (const ConfigRecord& record : records) {
+      if (record.key == options_.key && !record.deleted &&
+          IsNewer(record.revision)) {
+        adopted = Adopt(record.revision, options_.read(record.body), "store",
+                        absl::nullopt);
+      }
     }
+    return adopted;
   }
 
   /// Counts a call, and logs when the store becomes unavailable or available
@@ -273,6 +286,7 @@
     bool listed = position != Revision{};
     bool registered = false;
     bool nodes_read = false;
+    absl::Time next_nodes = absl::InfinitePast();
     absl::Time next_watch = absl::InfinitePast();
     while (!stop_.HasBeenNotified()) {
       // An agent reads the configuration once, for the health check of its
@@ -289,27 +303,28 @@
           continue;
         }
       }
-      if (!nodes_read || !options_.is_connected()) {
+      absl::Time now = MonotonicNow();
+      bool needs_nodes = !nodes_read || !options_.is_connected();
+      if (needs_nodes && now >= next_nodes) {
         nodes_read = ReadNodes(registered);
-        if (!nodes_read) {
-          Sleep(backoff_.OnFailure());
-          continue;
-        }
-        if (!options_.is_connected())
-          Sleep(kIsolatedListInterval);
-        continue;
+        needs_nodes = !nodes_read || !options_.is_connected();
+        now = MonotonicNow();
+        next_nodes =
+            now + (nodes_read ? kIsolatedListInterval : backoff_.OnFailure());
       }
       if (!is_entry()) {
-        Sleep(kAgentCheckInterval);
+        Sleep(needs_nodes ? next_nodes - now : kAgentCheckInterval);
         continue;
       }
-      const absl::Time now = MonotonicNow();
+      // The configuration is followed while the list of nodes fails too.
       if (next_watch > now)
         Sleep(next_watch - now);
       if (stop_.HasBeenNotified())
         return;
       next_watch = MonotonicNow() + kMinWatchInterval;
-      listed = WatchConfiguration(position);
+      listed =
+          WatchConfiguration(position, needs_nodes ? kIsolatedListInterval
+                                                   : absl::InfiniteDuration());
     }
   }
 
@@ -332,22 +347,27 @@
     const Result<ObjectList> list = store.List(prefix_);
     if (!RecordCall(list, "list_configuration"))
       return false;
-    for (const ConfigRecord& record : list.value().objects)
-      AdoptRecord(record);
+    if (!AdoptRecords(list.value().objects))
+      return false;
     position = list.value().revision;
     return true;
   }
 
-  /// Returns false when the configuration must be listed again.
-  bool WatchConfiguration(Revision& position) {
-    const Result<WatchBatch> batch =
-        store_->Watch(prefix_, position, kWatchWait);
-    // An event that cannot be parsed would be sent again at every watch from
-    // the same position.
+  /// Waits for a change for `longest` at most. Returns false when the
+  /// configuration must be listed again.
+  bool WatchConfiguration(Revision& position, absl::Duration longest) {
+    const absl::Duration wait =
+        std::min(longest, watches_.NextWait(options_.entry_rank()));
+    const absl::Time begun = MonotonicNow();
+    PlatformClient& store = watches_.is_probing() ? *store_ : *watch_store_;
+    const Result<WatchBatch> batch = store.Watch(prefix_, position, wait);
+    // Changes that cannot be parsed, or that exceed an answer, would be sent
+    // again at every watch from the same position.
     const bool list_again =
         !batch.has_value() &&
         (batch.error().kind == ErrorKind::kNotFound ||
-         batch.error().kind == ErrorKind::kMalformedMessage);
+         batch.error().kind == ErrorKind::kMalformedMessage ||
+         batch.error().kind == ErrorKind::kOversizedMessage);
     if (list_again) {
       calls_.Increment();
       LogLine(kStoreHistoryGone)
@@ -356,12 +376,17 @@
       return false;
     }
     if (!RecordCall(batch, "watch_configuration")) {
-      Sleep(backoff_.OnFailure());
+      lost_watches_.Increment();
+      watches_.OnLost();
+      // A lost call has taken its time; a rejected one must not be repeated at
+      // once.
+      if (MonotonicNow() - begun < wait)
+        Sleep(backoff_.OnFailure());
       return true;
     }
-    for (const ConfigRecord& record : batch.value().changes)
-      AdoptRecord(record);
-    position = batch.value().revision;
+    watches_.OnAnswered();
+    if (AdoptRecords(batch.value().changes))
+      position = batch.value().revision;
     return true;
   }
 
@@ -521,6 +546,8 @@
   /// Kind of the configuration object, with a trailing slash.
   const std::string prefix_;
   const std::unique_ptr<PlatformClient> store_;
+  /// Client whose calls are given up as WatchSchedule asks.
+  const std::unique_ptr<PlatformClient> watch_store_;
   /// Client with kInitialTimeout, used until there is a configuration.
   const std::unique_ptr<PlatformClient> initial_store_;
   Counter& calls_;
@@ -529,10 +556,12 @@
   Counter& parts_sent_;
   Counter& parts_refused_;
   Counter& parts_received_;
+  Counter& lost_watches_;
   BoundedRing<RevisionNotice> notices_;
   /// Used by peer_thread_ only.
   DocumentDownload download_;
-  // The next four are used by store_thread_ only.
+  // The next five are used by store_thread_ only.
+  WatchSchedule watches_;
   size_t ignored_objects_ = 0;
   Backoff backoff_;
   bool store_lost_ = false;
@@ -553,15 +582,18 @@
 
 Result<std::unique_ptr<ConfigurationFollower>> ConfigurationFollower::Create(
     const Options& options) {
+  BOOST_OUTCOME_TRY(watches, WatchSchedule::Create(options.node.change_limit));
   PlatformClient::Options client;
   client.platform = options.node.store;
   client.timeout = kStoreTimeout;
   client.progress_timeout = kStoreProgressTimeout;
   BOOST_OUTCOME_TRY(store, PlatformClient::Create(client));
+  client.timeout = watches.answer_timeout();
+  BOOST_OUTCOME_TRY(watch, PlatformClient::Create(client));
   client.timeout = kInitialTimeout;
   BOOST_OUTCOME_TRY(first, PlatformClient::Create(client));
   return std::unique_ptr<ConfigurationFollower>(std::make_unique<StoreFollower>(
-      options, std::move(store), std::move(first)));
+      options, watches, std::move(store), std::move(watch), std::move(first)));
 }
 
 }  // namespace skylarkshunt
--- a/lib/node/configuration_follower.h
+++ b/lib/node/configuration_follower.h
@@ -35,10 +35,13 @@
     std::function<bool(DataCommand)> command;
     /// Whether a message of another node arrived within kNodePresenceTimeout.
     std::function<bool()> is_connected;
+    /// As DataLoop::entry_rank().
+    std::function<size_t()> entry_rank;
     uint64_t random_seed = 1;
   };
 
-  /// Errors: kInvalidArgument for a store address without a port.
+  /// Errors: kInvalidArgument for a store address without a port, and for a
+  /// change limit that is not positive.
   static Result<std::unique_ptr<ConfigurationFollower>> Create(
       const Options& options);
   virtual ~ConfigurationFollower() = default;
--- a/lib/node/data_loop.h
+++ b/lib/node/data_loop.h
@@ -46,6 +46,9 @@
   /// Returns whether a message of another node arrived within
   /// kNodePresenceTimeout.
   virtual bool is_connected() const = 0;
+  /// Returns the number of responsive entries that precede this one in an
+  /// order that all entries agree on.
+  virtual size_t entry_rank() const = 0;
   /// Returns whether the graceful shutdown is complete.
   virtual bool ended() const = 0;
 };
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -253,6 +253,7 @@
     not_proven_.Set(searches.not_proven);
     nodes_.RemoveUnresponsive(now);
     SendToPeers(peers_.MakeQuery(nodes_.PresentEntries(now)));
+    SetEntryRank(nodes_.CountPrecedingEntries(now));
     PublishStatus(now);
     for (const AgentView& agent : forwarder_.agents().RemoveUnresponsive(now)) {
       LogLine(kAgentExpired)
--- a/lib/node/node_loop.h
+++ b/lib/node/node_loop.h
@@ -30,6 +30,7 @@
   }
   bool is_ready() const override { return ready_.load(); }
   bool is_connected() const override { return connected_.load(); }
+  size_t entry_rank() const override { return entry_rank_.load(); }
   bool ended() const override { return ended_.load(); }
 
  protected:
@@ -71,6 +72,7 @@
   absl::optional<PacketHeader> ReadPacket(absl::Span<const uint8_t> packet);
   void LogDecisions(const std::vector<Decision>& decisions, absl::Time now);
   void RecordPeerMessage(absl::Time now) { last_seen_ = now; }
+  void SetEntryRank(size_t rank) { entry_rank_.store(rank); }
   /// Begins the graceful shutdown. Returns false if it has already begun.
   bool BeginLeaving(absl::Time now);
 
@@ -103,6 +105,7 @@
   absl::Time leaving_since_;
   std::atomic<bool> ready_{false};
   std::atomic<bool> connected_{false};
+  std::atomic<size_t> entry_rank_{0};
   std::atomic<bool> ended_{false};
   /// Its steps use the members of the subclass, whose destructor must stop it.
   LoopThread thread_;
--- a/lib/node/node_process.cc
+++ b/lib/node/node_process.cc
@@ -54,6 +54,7 @@
       return loop_->Command(std::move(command));
     };
     follower.is_connected = [this] { return loop_->is_connected(); };
+    follower.entry_rank = [this] { return loop_->entry_rank(); };
     follower.random_seed = options.random_seed;
     BOOST_OUTCOME_TRY(created, ConfigurationFollower::Create(follower));
     follower_ = std::move(created);
--- a/standins/platform/fault.cc
+++ b/standins/platform/fault.cc
@@ -7,8 +7,8 @@
 namespace skylarkshunt {
 namespace {
 
-constexpr std::array<absl::string_view, 5> kModes = {
-    "none", "down", "slow", "lose_answers", "expire_watches"};
+constexpr std::array<absl::string_view, 6> kModes = {
+    "none", "down", "slow", "lose_answers", "expire_watches", "lose_watches"};
 constexpr int64_t kMaxDelayMs = 600'000;
 constexpr int64_t kMaxCount = 1'000'000;
 
--- a/standins/platform/fault.h
+++ b/standins/platform/fault.h
@@ -17,6 +17,7 @@
   kSlow,           ///< Every call takes effect only after a delay.
   kLoseAnswers,    ///< Writes take effect; their answers break off.
   kExpireWatches,  ///< Watches are answered 410; the change log is dropped.
+  kLoseWatches,    ///< Watches, also waiting ones, are never answered.
 };
 
 /// Returns the name of `mode` in POST /fault. Thread-safe.
--- a/standins/platform/platform_core.cc
+++ b/standins/platform/platform_core.cc
@@ -93,6 +93,12 @@
   return absl::nullopt;
 }
 
+PlatformAnswer PlatformCore::LoseCall() {
+  while (!stopped_)
+    changed_.Wait(&mutex_);
+  return MakeAnswer(kServiceUnavailable);
+}
+
 PlatformAnswer PlatformCore::Read(absl::string_view key) {
   absl::MutexLock lock(&mutex_);
   if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kRead))
@@ -166,6 +172,8 @@
   while (true) {
     if (stopped_ || fault_.mode == FaultMode::kDown)
       return MakeAnswer(kServiceUnavailable);
+    if (TakeFault(FaultMode::kLoseWatches))
+      return LoseCall();
     const absl::optional<std::vector<StoredObject>> changes =
         store_.ChangesAfter(prefix, after);
     if (!changes.has_value())
--- a/standins/platform/platform_core.h
+++ b/standins/platform/platform_core.h
@@ -72,6 +72,8 @@
   /// ends here.
   absl::optional<PlatformAnswer> Admit(CallKind kind)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// Waits until Stop(), so that the call gets no answer.
+  PlatformAnswer LoseCall() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   /// Whether `mode` is set; then one call of its count is used up.
   bool TakeFault(FaultMode mode) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   PlatformAnswer AnswerChange(absl::string_view key, const ChangeResult& result)
--- a/unittests/forwarding/node_directory_test.cc
+++ b/unittests/forwarding/node_directory_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(UnresponsiveNodesAreRemovedAndSeedsStay);
   CPPUNIT_TEST(PresentNodesPutEntriesFirst);
   CPPUNIT_TEST(ReportsStaySmallAndListNewNodesFirst);
+  CPPUNIT_TEST(EntriesAgreeOnTheirOrder);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -52,6 +53,24 @@
     CPPUNIT_ASSERT(!nodes.IsPresentEntry(6, kStart + absl::Hours(1)));
   }
 
+  // Guards against entries that each take another one for the first in the
+  // order, so that none watches the store closely.
+  void EntriesAgreeOnTheirOrder() {
+    std::set<size_t> ranks;
+    for (uint32_t self = 1; self <= 20; ++self) {
+      NodeDirectory nodes(Role::kEntry, self, kInterval, {}, kStart);
+      for (uint32_t other = 1; other <= 20; ++other)
+        nodes.RecordMessage({other, Role::kEntry}, kStart);
+      nodes.RecordMessage({21, Role::kAgent}, kStart);
+      nodes.Learn({22, Role::kEntry}, kStart);
+      ranks.insert(nodes.CountPrecedingEntries(kStart));
+      CPPUNIT_ASSERT_EQUAL(
+          size_t{0}, nodes.CountPrecedingEntries(kStart + absl::Hours(1)));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{20}, ranks.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, *ranks.begin());
+  }
+
   void AgentReportsToEntriesOnly() {
     NodeDirectory nodes(Role::kAgent, kSelf, kInterval, {}, kStart);
     nodes.Learn({5, Role::kAgent}, kStart);
--- a/unittests/node/configuration_follower_test.cc
+++ b/unittests/node/configuration_follower_test.cc
@@ -4,13 +4,16 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 #include "platform/configuration_document.h"
 #include "skylarkshunt/documents/packed_document.h"
 #include "skylarkshunt/forwarding/route_table_codec.h"
+#include "skylarkshunt/http/http_client.h"
 #include "skylarkshunt/http/http_server.h"
 #include "standins/platform/platform_server.h"
 
@@ -31,6 +34,8 @@
   bool Take(const DataCommand& command) {
     absl::MutexLock lock(&mutex_);
     const auto* configuration = std::get_if<ConfigurationInForce>(&command);
+    if (configuration != nullptr && std::exchange(refuse_next_, false))
+      return false;
     if (configuration != nullptr)
       versions_.push_back(configuration->routes->version);
     const auto* node = std::get_if<NodeAddress>(&command);
@@ -44,8 +49,14 @@
     return nodes_;
   }
 
-  /// Waits until `version` is the latest one. Returns false after kLongWait.
-  bool Await(uint64_t version) {
+  /// Makes the queue of the data thread full for the next configuration.
+  void RefuseNext() {
+    absl::MutexLock lock(&mutex_);
+    refuse_next_ = true;
+  }
+
+  /// Waits until `version` is the latest one. Returns false after `limit`.
+  bool Await(uint64_t version, absl::Duration limit = kLongWait) {
     absl::MutexLock lock(&mutex_);
     wanted_ = version;
     return mutex_.AwaitWithTimeout(absl::Condition(
@@ -55,7 +66,7 @@
                                                     self->wanted_;
                                        },
                                        this),
-                                   kLongWait);
+                                   limit);
   }
 
   std::vector<uint64_t> versions() const {
@@ -68,12 +79,18 @@
   std::vector<uint64_t> versions_;
   std::vector<uint32_t> nodes_;
   uint64_t wanted_ = 0;
+  bool refuse_next_ = false;
 };
 
 class ConfigurationFollowerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ConfigurationFollowerTest);
   CPPUNIT_TEST(ChangesAreFollowedInOrder);
   CPPUNIT_TEST(UnresponsiveStoreIsQueriedAgainWithinItsTimeout);
+  CPPUNIT_TEST(LostWatchIsFoundWithinTheChangeLimit);
+  CPPUNIT_TEST(WatchLostDuringAnOutageIsFoundWithinTheChangeLimit);
+  CPPUNIT_TEST(ConfigurationIsFollowedWhileNodesCannotBeListed);
+  CPPUNIT_TEST(ConfigurationThatTheDataThreadRefusedIsReadAgain);
+  CPPUNIT_TEST(ChangesThatExceedAnAnswerAreListed);
   CPPUNIT_TEST(NodeRejectedByStoreFetchesFromPeer);
   CPPUNIT_TEST(ExpiredHistoryCausesNewList);
   CPPUNIT_TEST(MalformedConfigurationLeavesPreviousOneInForce);
@@ -117,6 +134,74 @@
     CPPUNIT_ASSERT(absl::Now() - start < absl::Milliseconds(1500));
   }
 
+  // Guards against changes that come late because a call that the store lost
+  // is trusted for longer than the time limit of a change (review case 1).
+  void LostWatchIsFoundWithinTheChangeLimit() {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    AwaitWatches(1);
+    store_->core().SetFault({FaultMode::kLoseWatches, absl::ZeroDuration(), 1});
+    Write(2);
+    CPPUNIT_ASSERT(received_.Await(2, NodeOptions().change_limit));
+  }
+
+  // Guards against the same delay after an outage in which the retried calls
+  // are lost, too.
+  void WatchLostDuringAnOutageIsFoundWithinTheChangeLimit() {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    AwaitWatches(1);
+    store_->core().SetFault({FaultMode::kLoseWatches});
+    AwaitWatches(3);
+    store_->core().SetFault(Fault{});
+    Write(2);
+    CPPUNIT_ASSERT(received_.Await(2, NodeOptions().change_limit));
+  }
+
+  // Guards against an entry that stops following the configuration because the
+  // list of nodes fails or no other node is responsive.
+  void ConfigurationIsFollowedWhileNodesCannotBeListed() {
+    const auto proxy = StartProxy([this](const HttpRequest& request) {
+      HttpResponse response;
+      const bool nodes = absl::StrContains(request.target, "/objects/nodes");
+      response.status = nodes ? 503 : 200;
+      if (!nodes)
+        response.body = Forward(request.target);
+      return response;
+    });
+    Follow(proxy->local().front());
+    CPPUNIT_ASSERT(received_.Await(1));
+    Write(2);
+    CPPUNIT_ASSERT(received_.Await(2, NodeOptions().change_limit));
+  }
+
+  // Guards against a watch that fails again and again at the same position,
+  // because large configurations in quick succession exceed an answer.
+  void ChangesThatExceedAnAnswerAreListed() {
+    constexpr size_t kTooLarge = 5'000'000;
+    const auto proxy = StartProxy([this](const HttpRequest& request) {
+      HttpResponse response;
+      response.body = absl::StrContains(request.target, "watch=")
+                          ? std::string(kTooLarge, ' ')
+                          : Forward(request.target);
+      return response;
+    });
+    Follow(proxy->local().front());
+    CPPUNIT_ASSERT(received_.Await(1));
+    Write(2);
+    CPPUNIT_ASSERT(received_.Await(2, NodeOptions().change_limit));
+  }
+
+  // Guards against a confirmed configuration that is skipped because the queue
+  // of the data thread was full when it arrived.
+  void ConfigurationThatTheDataThreadRefusedIsReadAgain() {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    received_.RefuseNext();
+    Write(2);
+    CPPUNIT_ASSERT(received_.Await(2, NodeOptions().change_limit));
+  }
+
   void NodeRejectedByStoreFetchesFromPeer() {
     store_->core().SetFault({FaultMode::kDown});
     RouteTable table;
@@ -193,11 +278,45 @@
   }
 
  private:
-  void Follow() {
+  /// Waits until the store has got `count` watches.
+  void AwaitWatches(uint64_t count) {
+    const absl::Time limit = absl::Now() + kLongWait;
+    const auto watches = [this] {
+      return store_->core()
+          .counts()
+          .by_kind[static_cast<size_t>(CallKind::kWatch)];
+    };
+    while (watches() < count && absl::Now() < limit)
+      absl::SleepFor(absl::Milliseconds(5));
+    CPPUNIT_ASSERT(watches() >= count);
+  }
+
+  /// Starts an HTTP server between the follower and the store.
+  static std::unique_ptr<HttpServer> StartProxy(HttpServer::Handler handler) {
+    HttpServer::Options http;
+    http.listeners.push_back(
+        {Endpoint::Parse("127.0.0.1:0").value(), std::move(handler)});
+    return std::move(HttpServer::Start(std::move(http)).value());
+  }
+
+  /// Returns the store's answer to a read.
+  std::string Forward(absl::string_view target) const {
+    HttpCall call;
+    call.server = store_->address();
+    call.method = "GET";
+    call.target = std::string(target);
+    call.timeout = kLongWait;
+    const Result<HttpAnswer> answer = Call(call);
+    return answer.has_value() ? answer.value().body : std::string();
+  }
+
+  void Follow() { Follow(store_->address()); }
+
+  void Follow(Endpoint store) {
     ConfigurationFollower::Options options;
     options.node.role = Role::kEntry;
     options.node.name = "edge-1";
-    options.node.store = store_->address();
+    options.node.store = store;
     options.node.peers = {0x7f000001, peer_port_};
     options.key = kKey;
     options.read = ParseConfiguration;
@@ -206,6 +325,7 @@
       return received_.Take(command);
     };
     options.is_connected = [] { return true; };
+    options.entry_rank = [] { return size_t{0}; };
     follower_ = std::move(ConfigurationFollower::Create(options).value());
     follower_->Start();
   }
