Allow for clock steps when an agent dates the start of its target

Cause: the start of the target, read from its wall clock, was compared with the start of the agent without an allowance for steps. The agent took itself for older, and denied all flows that its earlier process had opened.

A start counts as later only beyond the allowance of 4 s. So that agents and targets that start together are not affected, a target whose address refused a connection since the agent's start is known from its start. Related: a start in the future is compared as well, and a target that started again after a step back is recognised although its start is earlier than that of the incarnation before.

--- a/include/skylarkshunt/forwarding/target_report.h
+++ b/include/skylarkshunt/forwarding/target_report.h
@@ -17,7 +17,8 @@
   /// epoch; 0 if the target does not report it.
   int64_t started_unix_ms = 0;
   /// The same start on the clock of MonotonicNow(), or the infinite past if it
-  /// is unknown. A step of the wall clock since the start shifts it.
+  /// is unknown. A step of the wall clock since the start shifts it, also into
+  /// the future.
   absl::Time started = absl::InfinitePast();
   /// Grows with each report of one incarnation.
   uint64_t sequence = 0;
--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -63,11 +63,31 @@
   /// as a restart. Packets that the target sent before belong to an earlier
   /// one. A report of the earlier one counts with the time of its arrival.
   absl::Time restarted_after() const { return restarted_after_; }
-  /// Whether this incarnation started after the agent. All its flows then
-  /// passed through this process of the agent, which knows them.
+  /// Whether this incarnation certainly started after the agent, or after a
+  /// time at which the agent found none. All its flows then passed through this
+  /// process of the agent, which knows them.
   bool seen_from_start() const { return seen_from_start_; }
 
  private:
+  /// A report with an earlier start than that of the known incarnation.
+  struct EarlierReport {
+    std::string id;
+    int64_t started_unix_ms = 0;
+    uint64_t sequence = 0;
+    absl::Time received;
+  };
+
+  /// Whether the incarnation that sent `report` certainly started after the
+  /// agent. `another` is whether the agent knew an earlier one.
+  bool StartedLater(const TargetReport& report,
+                    bool another,
+                    absl::Time now) const;
+  /// Whether `report` shows a restart although its start is earlier than that
+  /// of the known incarnation, because the wall clock stepped back between the
+  /// two. The known one must be unresponsive, and the other one must go on
+  /// reporting.
+  bool IsRestartWithAnEarlierStart(const TargetReport& report, absl::Time now);
+
   const std::string service_;
   const absl::Duration interval_;
   const absl::Time started_;
@@ -88,6 +108,9 @@
   /// Opening packets returned since the target last answered.
   int refusals_ = 0;
   bool seen_from_start_ = false;
+  /// Whether the target's address has refused a connection.
+  bool seen_absent_ = false;
+  EarlierReport earlier_;
 };
 
 }  // namespace skylarkshunt
--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -30,22 +30,24 @@
       (report.id != id_ || report.started_unix_ms != started_unix_ms_);
   // A delayed report may arrive after the target's next incarnation has
   // reported.
-  if (another && report.started_unix_ms < started_unix_ms_)
+  if (another && report.started_unix_ms < started_unix_ms_ &&
+      !IsRestartWithAnEarlierStart(report, now)) {
     return TargetChange::kNone;
+  }
   if (reported_ && !another && (report.sequence <= sequence_ || left_))
     return TargetChange::kNone;
   const bool first = !reported_;
   const bool was_accepting = state(now) == InstanceState::kServing;
   // A delayed report of an earlier incarnation may have been the first one, so
-  // a restart that the agent did not see proves nothing.
+  // a restart that the agent did not see proves nothing. The target's start was
+  // read from a clock that may have stepped since.
   if (first || another) {
-    seen_from_start_ = report.started == absl::InfinitePast()
-                           ? another
-                           : report.started > started_;
+    seen_from_start_ = seen_absent_ || StartedLater(report, another, now);
   }
   // The previous incarnation ran when it sent its last report.
   if (another)
-    restarted_after_ = std::max(last_seen_, report.started - kMaxClockStep);
+    restarted_after_ =
+        std::max(last_seen_, std::min(report.started, now) - kMaxClockStep);
   known_ = true;
   reported_ = true;
   left_ = false;
@@ -65,6 +67,30 @@
                                     : TargetChange::kState;
 }
 
+bool TargetState::StartedLater(const TargetReport& report,
+                               bool another,
+                               absl::Time now) const {
+  if (report.started == absl::InfinitePast())
+    return another;
+  return report.started - now <= kMaxClockStep &&
+         std::min(report.started, now) - kMaxClockStep > started_;
+}
+
+bool TargetState::IsRestartWithAnEarlierStart(const TargetReport& report,
+                                              absl::Time now) {
+  const absl::Duration earlier =
+      absl::Milliseconds(started_unix_ms_ - report.started_unix_ms);
+  if (earlier > kMaxClockStep || now - last_seen_ <= kMissedReports * interval_)
+    return false;
+  const bool repeated = earlier_.id == report.id &&
+                        earlier_.started_unix_ms == report.started_unix_ms;
+  if (!repeated)
+    earlier_ = {report.id, report.started_unix_ms, report.sequence, now};
+  // Delayed reports of an ended incarnation arrive together.
+  return repeated && report.sequence > earlier_.sequence &&
+         now - earlier_.received >= interval_ / 2;
+}
+
 bool TargetState::OnLeave(absl::string_view id, int64_t started_unix_ms) {
   const bool earlier =
       started_unix_ms != 0 && started_unix_ms < started_unix_ms_;
@@ -90,6 +116,7 @@
     return;
   connection_refused_ = true;
   unresponsive_ = true;
+  seen_absent_ = true;
 }
 
 bool TargetState::OnRefused() {
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -289,6 +289,8 @@
   }
 
   void UnknownFlowIsNotHeldByATargetSeenFromItsStart() {
+    // Longer than the largest step of the wall clock.
+    Pass(absl::Seconds(5));
     Start();
     agent_.OnForwarded(Forward(ForwardMode::kSearch), FlowPackets().Request(),
                        kEntry, now_, actions_);
