Find open flows at services that their route no longer names

Cause: the agents that may hold a flow were worked out from the present version of its route. Their denials were taken for proof, while the agents of the former service were never asked.

FormerServices keeps what earlier configurations named for an address within the lifetime of a flow; searches and the proof include it. The code of the search moves to entry_search.cc.

--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -92,6 +92,9 @@
   /// The agents of a service in no particular order; empty if there are none.
   absl::Span<AgentView* const> AgentsOfService(ServiceUid service) const;
 
+  /// Returns the services that have had an agent, in no particular order.
+  std::vector<ServiceUid> Services() const;
+
   /// Returns the time at which an agent of the service was last added;
   /// InfinitePast if there was none. An agent that restarted is not added
   /// again.
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -12,6 +12,7 @@
 #include "absl/types/span.h"
 #include "skylarkshunt/forwarding/agent_directory.h"
 #include "skylarkshunt/forwarding/decision.h"
+#include "skylarkshunt/forwarding/former_services.h"
 #include "skylarkshunt/forwarding/messages.h"
 #include "skylarkshunt/forwarding/opening_copies.h"
 #include "skylarkshunt/forwarding/retry_history.h"
@@ -65,7 +66,7 @@
   EntryForwarder(uint32_t data_centre, absl::Time started);
 
   /// Puts a configuration into force; older versions are ignored.
-  void SetRoutes(std::shared_ptr<const RouteTable> routes);
+  void SetRoutes(std::shared_ptr<const RouteTable> routes, absl::Time now);
   const RouteTable* routes() const { return routes_.get(); }
 
   AgentDirectory& agents() { return agents_; }
@@ -115,21 +116,22 @@
     /// search for the flow.
     bool established = false;
   };
-  /// State of a search for the agent that holds a flow. The candidates of the
-  /// flow are queried first, then all agents.
+  /// Which agents a search queries. Each stage includes the ones before.
+  enum class SearchStage : uint8_t {
+    kCandidates,     ///< The candidates of the flow.
+    kAllAgents,      ///< All agents of the services that may hold the flow.
+    kOtherServices,  ///< All agents, while these services are not known.
+  };
+  /// State of a search for the agent that holds a flow.
   struct Search {
     absl::Time started;
-    /// Time from which on all agents are queried.
-    absl::Time all_queried_at = absl::InfiniteFuture();
+    SearchStage stage = SearchStage::kCandidates;
+    absl::Time stage_began;
     absl::flat_hash_set<InstanceUid> queried;
     /// Queried agents that are expected to answer and have not done so.
     absl::flat_hash_set<InstanceUid> awaited;
     /// Agents that answered that they do not hold the flow.
     absl::flat_hash_set<InstanceUid> denied;
-
-    bool all_queried() const {
-      return all_queried_at != absl::InfiniteFuture();
-    }
   };
 
   /// Returns the attempt of the flow of an opening packet.
@@ -173,8 +175,8 @@
                   absl::Span<const uint8_t> packet,
                   absl::Time now,
                   EntryActions& actions);
-  /// Extends the search from the candidates to all agents.
-  static void QueryAll(Search& search, absl::Time now);
+  /// Moves the search to its next stage. Returns false if there is none.
+  bool WidenSearch(Search& search, absl::Time now) const;
   /// Sends `packet` to the agents of the current stage of the search.
   void SendSearch(Search& search,
                   const Route& route,
@@ -182,11 +184,25 @@
                   absl::Span<const uint8_t> packet,
                   absl::Time now,
                   EntryActions& actions);
-  /// Whether every agent of the route's services has reported that it does not
-  /// hold the flow, and no agent can be missing from the directory.
+  /// Sends `message` to the agents in `queried_`.
+  void QueryAgents(Search& search,
+                   const ForwardedPacket& message,
+                   absl::Time now,
+                   EntryActions& actions);
+  /// Returns the services with agents other than `services`; none if they have
+  /// more than kMaxOtherAgents agents.
+  std::vector<ServiceUid> OtherServices(
+      absl::Span<const ServiceUid> services) const;
+  /// Whether the agents of `services` do not hold the flow, nor those of any
+  /// other service that an earlier configuration may have named.
   bool IsHeldNowhere(const Search& search,
-                     const Route& route,
+                     absl::Span<const ServiceUid> services,
                      absl::Time now) const;
+  /// Whether every agent of the service has reported that it does not hold the
+  /// flow, and no agent can be missing from the directory.
+  bool IsDeniedBy(const Search& search,
+                  ServiceUid service,
+                  absl::Time now) const;
   void RecordNotHeld(const ReturnedPacket& returned,
                      const Route& route,
                      const FlowId& flow,
@@ -223,7 +239,7 @@
   CachedFlow* CacheFlow(const FlowId& flow, InstanceUid agent, absl::Time now);
   OpeningEvidence EvidenceOfOpening(const FlowId& flow, absl::Time now) const;
   SearchEvidence EvidenceOfSearch(const Search& search,
-                                  const Route& route,
+                                  absl::Span<const ServiceUid> services,
                                   absl::Time now) const;
   void RecordRefused(const FlowId& flow,
                      const Attempt& attempt,
@@ -244,6 +260,7 @@
   OpeningCopies copies_;
   absl::Duration socket_delay_;
   SearchCounts search_counts_;
+  FormerServices former_services_;
   /// Addresses without a route that had one in an earlier configuration.
   absl::flat_hash_set<Endpoint> dropped_routes_;
   /// Timed-out packets that Tick() sent to another agent. Actions point to
--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -292,6 +292,14 @@
   return agents->second;
 }
 
+std::vector<ServiceUid> AgentDirectory::Services() const {
+  std::vector<ServiceUid> services;
+  services.reserve(of_service_.size());
+  for (const auto& [service, agents] : of_service_)
+    services.push_back(service);
+  return services;
+}
+
 absl::Time AgentDirectory::last_appeared(ServiceUid service) const {
   const auto appeared = last_appeared_.find(service);
   return appeared == last_appeared_.end() ? absl::InfinitePast()
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -10,16 +10,9 @@
 
 /// Maximum number of cached flows. Further ones are found by a search.
 constexpr size_t kMaxCachedFlows = 65'536;
-/// Maximum number of concurrent searches. The agents are still queried for
-/// further flows, but their answers are not counted, and those flows are never
-/// reset.
-constexpr size_t kMaxSearches = 4'096;
 /// Age at which an unfinished search is removed. A client has sent several
 /// retransmissions by then.
 constexpr absl::Duration kSearchLifetime = absl::Seconds(3);
-/// Time for the candidates of a flow to answer a search. The next packet after
-/// it is sent to all agents.
-constexpr absl::Duration kCandidatesAnswerTime = absl::Milliseconds(60);
 /// Minimum time for which a flow is cached after its last packet, even if the
 /// configuration sets a shorter one.
 constexpr absl::Duration kMinIdleTime = absl::Seconds(2);
@@ -51,9 +44,11 @@
 EntryForwarder::EntryForwarder(uint32_t data_centre, absl::Time started)
     : data_centre_(data_centre), started_(started) {}
 
-void EntryForwarder::SetRoutes(std::shared_ptr<const RouteTable> routes) {
+void EntryForwarder::SetRoutes(std::shared_ptr<const RouteTable> routes,
+                               absl::Time now) {
   if (routes_ != nullptr && routes->version < routes_->version)
     return;
+  former_services_.Record(routes_.get(), *routes, now);
   if (routes_ != nullptr) {
     for (const auto& [address, route] : routes_->routes) {
       if (dropped_routes_.size() < kMaxDroppedRoutes)
@@ -273,85 +268,6 @@
   return true;
 }
 
-void EntryForwarder::SearchFlow(const Route& route,
-                                const FlowId& flow,
-                                absl::Span<const uint8_t> packet,
-                                absl::Time now,
-                                EntryActions& actions) {
-  const auto found = searches_.find(flow);
-  if (found != searches_.end()) {
-    // The candidates do not hold the flow, or one of them is unresponsive.
-    if (now - found->second.started > kCandidatesAnswerTime)
-      QueryAll(found->second, now);
-    // All agents have answered an earlier packet, but their answers did not
-    // prove that no agent holds the flow.
-    if (found->second.awaited.empty()) {
-      found->second.queried.clear();
-      found->second.denied.clear();
-    }
-    SendSearch(found->second, route, flow, packet, now, actions);
-    return;
-  }
-  if (searches_.size() >= kMaxSearches) {
-    Search uncounted;
-    QueryAll(uncounted, now);
-    SendSearch(uncounted, route, flow, packet, now, actions);
-    return;
-  }
-  actions.decisions.push_back(
-      MakeDecision(DecisionKind::kSearched, flow, "not_cached"));
-  Search& search = searches_[flow];
-  search.started = now;
-  SendSearch(search, route, flow, packet, now, actions);
-}
-
-void EntryForwarder::QueryAll(Search& search, absl::Time now) {
-  search.all_queried_at = std::min(search.all_queried_at, now);
-}
-
-void EntryForwarder::SendSearch(Search& search,
-                                const Route& route,
-                                const FlowId& flow,
-                                absl::Span<const uint8_t> packet,
-                                absl::Time now,
-                                EntryActions& actions) {
-  ForwardedPacket message;
-  message.mode = ForwardMode::kSearch;
-  message.kind = route.kind;
-  message.packet = packet;
-  // While the agent that holds the flow may be missing, asking the others'
-  // targets would give the packet to foreign targets only.
-  message.known_only =
-      std::any_of(route.shares.begin(), route.shares.end(),
-                  [this, now](const RouteShare& share) {
-                    return !agents_.IsComplete(share.service, now) ||
-                           agents_.IsAnyLeaving(share.service);
-                  });
-  for (const RouteShare& share : route.shares) {
-    message.service = share.service;
-    const absl::Span<AgentView* const> agents =
-        agents_.AgentsOfService(share.service);
-    queried_.clear();
-    if (search.all_queried())
-      queried_.assign(agents.begin(), agents.end());
-    else
-      AppendCandidates(agents, StableFlowHash(flow), data_centre_,
-                       kSearchedPerSide, queried_);
-    for (const AgentView* agent : queried_) {
-      // A target may have started beside an agent since its last message, so
-      // agents without target are queried too.
-      actions.to_agents.push_back({agent->endpoint, message});
-      // The search does not wait for an unresponsive candidate before it
-      // queries all agents, nor for an agent that ended without target.
-      const bool may_hold =
-          search.all_queried() && agent->load.state != InstanceState::kDown;
-      const bool expected = may_hold || IsResponsive(*agent, now);
-      if (search.queried.insert(agent->identity.uid).second && expected)
-        search.awaited.insert(agent->identity.uid);
-    }
-  }
-}
-
 void EntryForwarder::OnReturned(const ReturnedPacket& returned,
                                 const PacketHeader& header,
                                 Endpoint agent,
@@ -414,83 +330,6 @@
   }
 }
 
-void EntryForwarder::RecordNotHeld(const ReturnedPacket& returned,
-                                   const Route& route,
-                                   const FlowId& flow,
-                                   const PacketHeader& header,
-                                   absl::Time now,
-                                   EntryActions& actions) {
-  const auto found = searches_.find(flow);
-  if (found == searches_.end())
-    return;
-  Search& search = found->second;
-  search.denied.insert(returned.agent.uid);
-  const bool awaited = search.awaited.erase(returned.agent.uid) > 0;
-  if (!awaited || !search.awaited.empty())
-    return;
-  if (!search.all_queried()) {
-    QueryAll(search, now);
-    const size_t queried = search.queried.size();
-    SendSearch(search, route, flow, returned.packet, now, actions);
-    if (search.queried.size() > queried)
-      return;
-  }
-  if (!IsHeldNowhere(search, route, now))
-    return;
-  const SearchEvidence evidence = EvidenceOfSearch(search, route, now);
-  searches_.erase(found);
-  ++search_counts_.held_nowhere;
-  if (header.reset)
-    return;
-  actions.resets.push_back({flow, header.acknowledged});
-  Decision decision =
-      MakeDecision(DecisionKind::kFlowReset, flow, "no_target_holds_it");
-  decision.sequence = header.acknowledged;
-  decision.evidence = evidence;
-  actions.decisions.push_back(decision);
-}
-
-SearchEvidence EntryForwarder::EvidenceOfSearch(const Search& search,
-                                                const Route& route,
-                                                absl::Time now) const {
-  SearchEvidence evidence;
-  evidence.queried = static_cast<uint32_t>(search.queried.size());
-  evidence.uptime = now - started_;
-  absl::Time newest = absl::InfinitePast();
-  for (const RouteShare& share : route.shares) {
-    evidence.known +=
-        static_cast<uint32_t>(agents_.AgentsOfService(share.service).size());
-    newest = std::max(newest, agents_.last_appeared(share.service));
-  }
-  evidence.newest_agent = now - newest;
-  return evidence;
-}
-
-bool EntryForwarder::IsHeldNowhere(const Search& search,
-                                   const Route& route,
-                                   absl::Time now) const {
-  for (const RouteShare& share : route.shares) {
-    // An agent that restarts, or was cut off together with this entry, may be
-    // missing until its expiry timeout.
-    const absl::Time since =
-        std::max(started_, agents_.last_lost(share.service));
-    if (now - since < agents_.ExpiryTimeout(share.service) ||
-        !agents_.IsComplete(share.service, now)) {
-      return false;
-    }
-    for (const AgentView* agent : agents_.AgentsOfService(share.service)) {
-      // A target and its agent may have started at this address since, and
-      // answer the search.
-      const bool ended = agent->load.state == InstanceState::kDown &&
-                         !IsResponsive(*agent, now) &&
-                         now - search.all_queried_at > kCandidatesAnswerTime;
-      if (!ended && !search.denied.contains(agent->identity.uid))
-        return false;
-    }
-  }
-  return true;
-}
-
 void EntryForwarder::OnPlaced(const FlowPlaced& placed,
                               Endpoint agent,
                               absl::Time now,
@@ -633,6 +472,7 @@
   });
   retries_.Expire(now);
   copies_.Expire(now);
+  former_services_.Expire(now);
   const size_t searches = searches_.size();
   absl::erase_if(searches_, [now](const auto& search) {
     return now - search.second.started > kSearchLifetime;
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -83,7 +83,7 @@
     absl::Time now;
 
     void operator()(const ConfigurationInForce& configuration) const {
-      loop.forwarder_.SetRoutes(configuration.routes);
+      loop.forwarder_.SetRoutes(configuration.routes, now);
       loop.self_.configuration = configuration.revision;
       loop.nodes_.MakeSomeDue(now);
     }
--- a/standins/flow_simulation/simulated_entry.cc
+++ b/standins/flow_simulation/simulated_entry.cc
@@ -162,7 +162,8 @@
 void SimulatedEntry::SetConfiguration(size_t revision) {
   if (revision <= ToNumber(self_.configuration))
     return;
-  forwarder_->SetRoutes(context_.configurations[revision - 1]);
+  forwarder_->SetRoutes(context_.configurations[revision - 1],
+                        context_.events.now());
   self_.configuration = Revision{revision};
   nodes_->MakeSomeDue(context_.events.now());
 }
--- a/unittests/flow_proof/simulated_site.cc
+++ b/unittests/flow_proof/simulated_site.cc
@@ -29,7 +29,7 @@
 SimulatedSite::SimulatedSite(size_t entries, size_t agents) : now_(kStart) {
   for (size_t i = 0; i < entries; ++i) {
     entries_.push_back(std::make_unique<EntryForwarder>(kDataCentre, now_));
-    entries_.back()->SetRoutes(MakeRoutes());
+    entries_.back()->SetRoutes(MakeRoutes(), now_);
   }
   agents_.resize(agents);
   for (size_t i = 0; i < agents; ++i) {
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -80,7 +80,7 @@
 
  public:
   void setUp() override {
-    entry_.SetRoutes(Routes());
+    entry_.SetRoutes(Routes(), kStart);
     for (uint64_t uid = 1; uid <= 3; ++uid)
       Report(uid, 0);
   }
@@ -194,7 +194,7 @@
     Client(flow.Opening());
     auto without = std::make_shared<RouteTable>();
     without->version = 2;
-    entry_.SetRoutes(without);
+    entry_.SetRoutes(without, kStart);
     Client(flow.Request());
     CPPUNIT_ASSERT(actions_.to_agents.empty());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
@@ -205,8 +205,8 @@
   }
 
   void OlderConfigurationIsIgnored() {
-    entry_.SetRoutes(Routes(9));
-    entry_.SetRoutes(Routes(8));
+    entry_.SetRoutes(Routes(9), kStart);
+    entry_.SetRoutes(Routes(8), kStart);
     CPPUNIT_ASSERT_EQUAL(uint64_t{9}, entry_.routes()->version);
   }
 
@@ -384,7 +384,7 @@
     EntryForwarder entry(kLocalDataCentre, kStart);
     const FlowPackets flow;
     entry.OnClientPacket(flow.Opening(), kPacketBytes, now_, actions_);
-    entry.SetRoutes(Routes());
+    entry.SetRoutes(Routes(), kStart);
     const FlowPackets foreign(1, {0xc6120009, 443});
     entry.set_socket_delay(absl::Milliseconds(30));
     entry.OnClientPacket(foreign.Opening(1), kPacketBytes, now_, actions_);
--- a/unittests/forwarding/large_fleet_test.cc
+++ b/unittests/forwarding/large_fleet_test.cc
@@ -74,7 +74,7 @@
 struct EntryWithAgents {
   EntryWithAgents(uint32_t data_centre, uint64_t first, uint64_t last)
       : forwarder(data_centre, kStart) {
-    forwarder.SetRoutes(Routes());
+    forwarder.SetRoutes(Routes(), kStart);
     for (uint64_t agent = first; agent <= last; ++agent)
       Report(agent, kStart);
   }
--- a/unittests/forwarding/overload_simulation.cc
+++ b/unittests/forwarding/overload_simulation.cc
@@ -78,7 +78,7 @@
 
 void OverloadSimulation::StartEntry(size_t index) {
   entries_[index].forwarder = std::make_unique<EntryForwarder>(1, now_);
-  entries_[index].forwarder->SetRoutes(routes_);
+  entries_[index].forwarder->SetRoutes(routes_, now_);
 }
 
 void OverloadSimulation::StartAgent(size_t index) {
--- a/unittests/forwarding/reset_proof_test.cc
+++ b/unittests/forwarding/reset_proof_test.cc
@@ -60,7 +60,7 @@
  public:
   explicit TestEntry(absl::Time started = kStart - kSettled)
       : forwarder_(kDataCentre, started) {
-    forwarder_.SetRoutes(RoutesOf(1, true));
+    forwarder_.SetRoutes(RoutesOf(1, true), kStart);
   }
 
   void Report(uint64_t uid, const AgentLoad& load, uint16_t interval_ms = 100) {
@@ -297,10 +297,10 @@
   void FlowOfADroppedRouteIsReset() {
     TestEntry entry;
     entry.ReportAll(LoadOf(0));
-    entry.forwarder().SetRoutes(RoutesOf(2, false));
+    entry.forwarder().SetRoutes(RoutesOf(2, false), kStart);
     entry.Client(FlowPackets(1).Request());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, entry.resets());
-    entry.forwarder().SetRoutes(RoutesOf(3, true));
+    entry.forwarder().SetRoutes(RoutesOf(3, true), kStart);
     entry.Client(FlowPackets(1).Request());
     CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
   }
@@ -401,7 +401,7 @@
     const ServiceUid other = MakeServiceUid("schemata");
     routes->routes[FlowPackets().flow().service].shares = {{kService, 1},
                                                            {other, 1}};
-    entry.forwarder().SetRoutes(routes);
+    entry.forwarder().SetRoutes(routes, kStart);
     entry.ReportAll(LoadOf(0));
     AgentIdentity missing = IdentityOf(9);
     missing.service = other;
