--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -13,10 +13,18 @@
 
 namespace skylarkshunt {
 
-/// All objects below a prefix at one revision of the platform.
+/// Objects of an answer that cannot be read, since another writer left them.
+struct IgnoredObjects {
+  size_t count = 0;
+  /// What is wrong with the first one.
+  std::string first;
+};
+
+/// All readable objects below a prefix at one revision of the platform.
 struct ObjectList {
   Revision revision{};
   std::vector<ConfigRecord> objects;
+  IgnoredObjects ignored;
 };
 
 /// Changes of a watch; empty when the wait ended without one.
@@ -24,6 +32,7 @@
   /// Where the next watch goes on.
   Revision revision{};
   std::vector<ConfigRecord> changes;
+  IgnoredObjects ignored;
 };
 
 /// Whether a list may show a state that is some seconds old, at a lower price.
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -36,6 +36,8 @@
 constexpr EventId kNodeObjectsIgnored{5158, "node_objects_ignored"};
 constexpr EventId kPackingFailed{5159, "configuration_packing_failed"};
 
+constexpr EventId kObjectsIgnored{5160, "store_objects_ignored"};
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kTooManyRequests = 429;
@@ -52,6 +54,8 @@
 /// Least time between two watches, which batches changes in quick succession. A
 /// tenth of the tightest bound on a change.
 constexpr absl::Duration kMinWatchInterval = absl::Milliseconds(300);
+/// Least time between two log lines about objects that cannot be read.
+constexpr absl::Duration kIgnoredLogInterval = absl::Seconds(10);
 constexpr absl::Duration kInitialRetryDelay = absl::Milliseconds(100);
 constexpr absl::Duration kMaxRetryDelay = absl::Seconds(1);
 /// Longest time between two attempts of an entry that has no configuration.
@@ -109,6 +113,9 @@
         lost_watches_(options.counters->Find(
             "skylarkshunt_store_watches_lost_total",
             "Watches of the configuration that were not answered.")),
+        objects_ignored_(options.counters->Find(
+            "skylarkshunt_store_objects_ignored_total",
+            "Objects in answers of the store that could not be read.")),
         notices_(kMaxRevisionNotices),
         download_(options.random_seed),
         watches_(watches),
@@ -256,9 +263,12 @@
         LogLine(kStoreRegained)
             .Field("call", what)
             .Field("away_ms",
-                   absl::ToInt64Milliseconds(MonotonicNow() - lost_since_));
+                   absl::ToInt64Milliseconds(MonotonicNow() - lost_since_))
+            .Field("unanswered_ms", absl::ToInt64Milliseconds(UnansweredTime()))
+            .Field("revision", ToNumber(revision()));
       }
       store_lost_ = false;
+      last_answer_ = MonotonicNow();
       backoff_.OnSuccess();
       return true;
     }
@@ -267,12 +277,35 @@
       lost_since_ = MonotonicNow();
       LogLine(kStoreLost, Severity::kWarning)
           .Field("call", what)
+          .Field("unanswered_ms", absl::ToInt64Milliseconds(UnansweredTime()))
+          .Field("revision", ToNumber(revision()))
           .Field("error", result.error().ToString());
     }
     store_lost_ = true;
     return false;
   }
 
+  /// Counts objects that cannot be read. The others of the answer are used.
+  void RecordIgnored(absl::string_view prefix, const IgnoredObjects& ignored) {
+    if (ignored.count == 0)
+      return;
+    objects_ignored_.Add(ignored.count);
+    const absl::Time now = MonotonicNow();
+    if (now < next_ignored_log_)
+      return;
+    next_ignored_log_ = now + kIgnoredLogInterval;
+    LogLine(kObjectsIgnored, Severity::kWarning)
+        .Field("prefix", prefix)
+        .Field("count", ignored.count)
+        .Field("first", ignored.first);
+  }
+
+  /// Time since the store last answered, or since the start. The configuration
+  /// in force may be older than that of the store by this time.
+  absl::Duration UnansweredTime() const {
+    return MonotonicNow() - last_answer_;
+  }
+
   void Sleep(absl::Duration time) {
     stop_.WaitForNotificationWithTimeout(time);
   }
@@ -347,6 +380,7 @@
     const Result<ObjectList> list = store.List(prefix_);
     if (!RecordCall(list, "list_configuration"))
       return false;
+    RecordIgnored(prefix_, list.value().ignored);
     if (!AdoptRecords(list.value().objects))
       return false;
     position = list.value().revision;
@@ -385,6 +419,7 @@
       return true;
     }
     watches_.OnAnswered();
+    RecordIgnored(prefix_, batch.value().ignored);
     if (AdoptRecords(batch.value().changes))
       position = batch.value().revision;
     return true;
@@ -396,6 +431,7 @@
     const Result<ObjectList> list = store_->List(kNodesPrefix);
     if (!RecordCall(list, "list_nodes"))
       return false;
+    RecordIgnored(kNodesPrefix, list.value().ignored);
     const std::string key = absl::StrCat(kNodesPrefix, options_.node.name);
     const nlohmann::json self = {{"address", options_.node.peers.ToString()},
                                  {"role", is_entry() ? "entry" : "agent"}};
@@ -557,15 +593,18 @@
   Counter& parts_refused_;
   Counter& parts_received_;
   Counter& lost_watches_;
+  Counter& objects_ignored_;
   BoundedRing<RevisionNotice> notices_;
   /// Used by peer_thread_ only.
   DocumentDownload download_;
-  // The next five are used by store_thread_ only.
+  // The next seven are used by store_thread_ only.
   WatchSchedule watches_;
   size_t ignored_objects_ = 0;
   Backoff backoff_;
   bool store_lost_ = false;
   absl::Time lost_since_;
+  absl::Time last_answer_ = MonotonicNow();
+  absl::Time next_ignored_log_ = absl::InfinitePast();
   mutable absl::Mutex mutex_;
   Revision revision_ ABSL_GUARDED_BY(mutex_){};
   /// The current configuration and the previous one, for peers.
--- a/lib/serial/json_object.cc
+++ b/lib/serial/json_object.cc
@@ -19,30 +19,43 @@
   return empty;
 }
 
+/// What RepeatedKeyFinder found. The parser copies the finder itself.
+struct ParseFindings {
+  std::string repeated_key;
+  bool too_deep = false;
+};
+
 /// Finds a key that stands twice in one object. nlohmann keeps the last value
-/// silently, which would hide an operator's mistake.
+/// silently, which would hide an operator's mistake. Also finds deep nesting,
+/// since Shorten() writes values out recursively.
 class RepeatedKeyFinder {
  public:
-  bool operator()(int /*depth*/,
+  bool operator()(int depth,
                   nlohmann::json::parse_event_t event,
                   nlohmann::json& parsed) {
+    if (depth > kMaxDepth)
+      findings_->too_deep = true;
+    if (findings_->too_deep)
+      return false;
     if (event == nlohmann::json::parse_event_t::object_start)
       keys_.emplace_back();
     if (event == nlohmann::json::parse_event_t::object_end)
       keys_.pop_back();
     if (event == nlohmann::json::parse_event_t::key) {
       std::string key = parsed.get<std::string>();
-      if (!keys_.back().insert(key).second && repeated_->empty())
-        *repeated_ = key;
+      if (!keys_.back().insert(key).second && findings_->repeated_key.empty())
+        findings_->repeated_key = key;
     }
     return true;
   }
 
-  explicit RepeatedKeyFinder(std::string* repeated) : repeated_(repeated) {}
+  explicit RepeatedKeyFinder(ParseFindings* findings) : findings_(findings) {}
 
  private:
+  static constexpr int kMaxDepth = 64;
+
   std::vector<std::set<std::string>> keys_;
-  std::string* repeated_;
+  ParseFindings* findings_;
 };
 
 constexpr absl::string_view kNameRemedy =
@@ -72,17 +85,21 @@
 Result<nlohmann::json> ParseJsonObject(absl::string_view text,
                                        absl::string_view source,
                                        ErrorKind kind) {
-  std::string repeated;
+  ParseFindings findings;
   nlohmann::json value = nlohmann::json::parse(
-      text.begin(), text.end(), RepeatedKeyFinder(&repeated),
+      text.begin(), text.end(), RepeatedKeyFinder(&findings),
       /*allow_exceptions=*/false, /*ignore_comments=*/true);
+  if (findings.too_deep) {
+    return MakeError(kind, absl::StrCat(source, ": nested too deep"),
+                     "remove the brackets that are not needed");
+  }
   if (!value.is_object()) {
     return MakeError(kind, absl::StrCat(source, ": not a JSON object"),
                      "check brackets, commas and quotes near the end");
   }
-  if (!repeated.empty()) {
+  if (!findings.repeated_key.empty()) {
     return MakeError(kind,
-                     absl::StrCat(source, ": key '", repeated,
+                     absl::StrCat(source, ": key '", findings.repeated_key,
                                   "' stands twice in one object"),
                      "remove one of the two");
   }
--- a/unittests/node/configuration_follower_test.cc
+++ b/unittests/node/configuration_follower_test.cc
@@ -3,11 +3,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <atomic>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 #include "platform/configuration_document.h"
@@ -95,6 +97,8 @@
   CPPUNIT_TEST(ExpiredHistoryCausesNewList);
   CPPUNIT_TEST(MalformedConfigurationLeavesPreviousOneInForce);
   CPPUNIT_TEST(InvalidNodeObjectsAreIgnored);
+  CPPUNIT_TEST(OddObjectsOfAnotherWriterLeaveTheOthersInUse);
+  CPPUNIT_TEST(OddConfigurationLeavesTheLastOneInForce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -253,6 +257,47 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, received_.versions().size());
   }
 
+  // Guards against nodes that end, or that no longer follow the store, because
+  // another writer left an object that cannot be read in the lists of nodes and
+  // of the configuration.
+  void OddObjectsOfAnotherWriterLeaveTheOthersInUse() {
+    for (const std::string& spec :
+         {std::string(250'000, '[') + std::string(250'000, ']'),
+          std::string(R"({"weight":1e999})"),
+          std::string(R"({"address":"10.1.0.9:70000","role":"agent"})")}) {
+      const auto proxy = StartProxy([this, &spec](const HttpRequest& request) {
+        HttpResponse response;
+        response.body = WithObject(Forward(request.target), "another", spec);
+        return response;
+      });
+      Follow(proxy->local().front());
+      CPPUNIT_ASSERT(received_.Await(written_));
+      Write(written_ + 1);
+      CPPUNIT_ASSERT(received_.Await(written_, NodeOptions().change_limit));
+      follower_.reset();
+    }
+    CPPUNIT_ASSERT(received_.nodes().empty());
+  }
+
+  void OddConfigurationLeavesTheLastOneInForce() {
+    const std::string deep =
+        std::string(250'000, '[') + std::string(250'000, ']');
+    std::atomic<bool> is_odd{false};
+    const auto proxy = StartProxy([&](const HttpRequest& request) {
+      HttpResponse response;
+      response.body = Forward(request.target);
+      if (is_odd.exchange(false))
+        response.body = WithObject(response.body, "main", deep);
+      return response;
+    });
+    Follow(proxy->local().front());
+    CPPUNIT_ASSERT(received_.Await(1));
+    is_odd = true;
+    Write(2);
+    CPPUNIT_ASSERT(received_.Await(2, NodeOptions().change_limit));
+    CPPUNIT_ASSERT(follower_->routes()->version == 2);
+  }
+
   // Guards against registering nodes that do not exist, and against a reader
   // that fails on objects of other writers.
   void InvalidNodeObjectsAreIgnored() {
@@ -299,6 +344,26 @@
     return std::move(HttpServer::Start(std::move(http)).value());
   }
 
+  /// Returns `answer` with one more object before the others.
+  static std::string WithObject(std::string answer,
+                                absl::string_view name,
+                                absl::string_view spec) {
+    const std::string object = absl::StrCat(
+        R"({"meta":{"name":")", name, R"(","rev":999999},"spec":)", spec, "}");
+    for (const absl::string_view list : {R"("items":[)", R"("events":[)"}) {
+      const size_t at = answer.find(std::string(list));
+      if (at == std::string::npos)
+        continue;
+      const size_t begin = at + list.size();
+      const absl::string_view comma = answer[begin] == ']' ? "" : ",";
+      answer.insert(begin, list == R"("events":[)"
+                               ? absl::StrCat(R"({"object":)", object,
+                                              R"(,"removed":false})", comma)
+                               : absl::StrCat(object, comma));
+    }
+    return answer;
+  }
+
   /// Returns the store's answer to a read.
   std::string Forward(absl::string_view target) const {
     HttpCall call;
@@ -331,7 +396,10 @@
   }
 
   /// Replaces the configuration in the store by `version`.
-  void Write(int version) { Write(Document(version)); }
+  void Write(int version) {
+    Write(Document(version));
+    written_ = version;
+  }
 
   /// Replaces the configuration in the store by `document`. The new revision is
   /// read from the answer: the follower registers its node in between, which
@@ -351,6 +419,7 @@
   CounterRegistry counters_;
   Received received_;
   uint64_t revision_ = 0;
+  int written_ = 0;
   uint16_t peer_port_ = 1;
   std::unique_ptr<PlatformServer> store_;
   std::unique_ptr<ConfigurationFollower> follower_;
--- a/unittests/serial/serial_test.cc
+++ b/unittests/serial/serial_test.cc
@@ -14,11 +14,22 @@
   CPPUNIT_TEST(ReaderRejectsExtraFields);
   CPPUNIT_TEST(ParseRejectsTruncatedAndOversized);
   CPPUNIT_TEST(ParseRejectsDeepNestingAndHugeSizes);
+  CPPUNIT_TEST(JsonRejectsDeepNesting);
   CPPUNIT_TEST(JsonRejectsRepeatedKey);
   CPPUNIT_TEST(JsonNamesKeyAndRemedy);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a document whose value exhausts the stack when an error
+  // message quotes it.
+  void JsonRejectsDeepNesting() {
+    const std::string deep =
+        "{\"a\":" + std::string(250'000, '[') + std::string(250'000, ']') + "}";
+    const Result<nlohmann::json> value = ParseJsonObject(deep, "test", kKind);
+    CPPUNIT_ASSERT(!value.has_value());
+    CPPUNIT_ASSERT(value.error().kind == kKind);
+  }
+
   void ReaderRejectsWrongTypesAndMissingFields() {
     const auto value = nlohmann::json::parse(R"([1,"x",-2,true])");
     CborArrayReader reader(value);
