Keep name and revision of an object whose content cannot be read

A node whose own object under nodes/ is odd would try to create it without end, since it did not know the revision to replace. Such objects now stay in the answer with the body "null", which no reader takes for content.

--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -14,13 +14,15 @@
 namespace skylarkshunt {
 
 /// Objects of an answer that cannot be read, since another writer left them.
+/// Those that have a name and a revision are in the answer with the body
+/// "null".
 struct IgnoredObjects {
   size_t count = 0;
   /// What is wrong with the first one.
   std::string first;
 };
 
-/// All readable objects below a prefix at one revision of the platform.
+/// All objects below a prefix at one revision of the platform.
 struct ObjectList {
   Revision revision{};
   std::vector<ConfigRecord> objects;
