Trust a refused connection only if the start of the target fits it

Found on reading the change again: a target that refuses a connection shortly after the start of its agent, but keeps running, counted as seen from its start with its first report, and its agent would have denied the flows of before. A reported start that is earlier than the agent's by more than the allowance for clock steps now contradicts the absence.

AbsenceIsNotTrustedAgainstAnEarlierStart failed before; forwarding_test and flow_proof_test pass.

--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -42,7 +42,11 @@
   // a restart that the agent did not see proves nothing. The target's start was
   // read from a clock that may have stepped since.
   if (first || another) {
-    seen_from_start_ = seen_absent_ || StartedLater(report, another, now);
+    // A start long before the agent's contradicts the refused connection.
+    const bool may_have_been_absent =
+        seen_absent_ && report.started + kMaxClockStep > started_;
+    seen_from_start_ =
+        may_have_been_absent || StartedLater(report, another, now);
   }
   // The previous incarnation ran when it sent its last report.
   if (another)
--- a/unittests/forwarding/target_state_test.cc
+++ b/unittests/forwarding/target_state_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(StartFromASteppedClockIsNotTrusted);
   CPPUNIT_TEST(StartInTheFarFutureIsNotTrusted);
   CPPUNIT_TEST(TargetFoundAbsentIsSeenFromItsStart);
+  CPPUNIT_TEST(AbsenceIsNotTrustedAgainstAnEarlierStart);
   CPPUNIT_TEST(RestartAfterABackwardClockStepIsRecognized);
   CPPUNIT_TEST(DelayedReportsDoNotReplaceAnUnresponsiveTarget);
   CPPUNIT_TEST_SUITE_END();
@@ -134,6 +135,16 @@
     CPPUNIT_ASSERT(target_.seen_from_start());
   }
 
+  // Guards against an agent that denies the earlier flows of a running target,
+  // because the target refused a connection although it kept running.
+  void AbsenceIsNotTrustedAgainstAnEarlierStart() {
+    target_.OnConnectionRefused(kStart);
+    TargetReport report = Report("i-1", 1000, 40);
+    report.started = kStart - absl::Minutes(1);
+    target_.OnReport(report, kStart + absl::Milliseconds(200));
+    CPPUNIT_ASSERT(!target_.seen_from_start());
+  }
+
   // Guards against a target that gets no flows until its agent restarts,
   // because its incarnation before started while the wall clock was ahead.
   void RestartAfterABackwardClockStepIsRecognized() {
