Log when a configuration was offered, brought, queued and used

Every line is bounded: one for each revision, one in 0.3 s, or one in 10 s.

EntryForwarder::SetRoutes() returns the change instead of dropping an older version without a word.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -56,6 +56,23 @@
   uint64_t not_proven = 0;
 };
 
+/// What a configuration was used for.
+struct RouteUse {
+  /// Opening packets of clients that were placed by it.
+  uint64_t placements = 0;
+  /// The last one of them; the infinite past if there is none.
+  absl::Time last_placement = absl::InfinitePast();
+};
+
+/// Result of EntryForwarder::SetRoutes().
+struct RouteChange {
+  /// False if the version is lower than the one in force.
+  bool in_force = false;
+  /// Version that was in force before, 0 if none, and its use.
+  uint64_t former_version = 0;
+  RouteUse former_use;
+};
+
 /// Decides where an entry sends the packets of clients. Pure: the inputs are
 /// packets, messages and the time, the outputs are actions. Its flow state is
 /// only a cache; for a flow that is not cached it queries the agents. Not
@@ -65,8 +82,11 @@
   /// `data_centre` is the hash of the entry's data centre as in AgentIdentity.
   EntryForwarder(uint32_t data_centre, absl::Time started);
 
-  /// Puts a configuration into force; older versions are ignored.
-  void SetRoutes(std::shared_ptr<const RouteTable> routes, absl::Time now);
+  /// Puts a configuration into force; older versions are ignored. Returns
+  /// whether it is in force, and what the former one was used for.
+  /// Precondition: `routes` is not null.
+  RouteChange SetRoutes(std::shared_ptr<const RouteTable> routes,
+                        absl::Time now);
   const RouteTable* routes() const { return routes_.get(); }
 
   AgentDirectory& agents() { return agents_; }
@@ -252,6 +272,8 @@
   const uint32_t data_centre_;
   const absl::Time started_;
   std::shared_ptr<const RouteTable> routes_;
+  /// Use of `routes_` since it came into force.
+  RouteUse route_use_;
   AgentDirectory agents_;
   RetryHistory retries_;
   absl::flat_hash_map<FlowId, CachedFlow> flows_;
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -44,10 +44,15 @@
 EntryForwarder::EntryForwarder(uint32_t data_centre, absl::Time started)
     : data_centre_(data_centre), started_(started) {}
 
-void EntryForwarder::SetRoutes(std::shared_ptr<const RouteTable> routes,
-                               absl::Time now) {
-  if (routes_ != nullptr && routes->version < routes_->version)
-    return;
+RouteChange EntryForwarder::SetRoutes(std::shared_ptr<const RouteTable> routes,
+                                      absl::Time now) {
+  RouteChange change;
+  change.former_version = routes_ == nullptr ? 0 : routes_->version;
+  change.former_use = route_use_;
+  if (routes->version < change.former_version)
+    return change;
+  change.in_force = true;
+  route_use_ = {};
   former_services_.Record(routes_.get(), *routes, now);
   if (routes_ != nullptr) {
     for (const auto& [address, route] : routes_->routes) {
@@ -59,6 +64,7 @@
     return routes->Find(address) != nullptr;
   });
   routes_ = std::move(routes);
+  return change;
 }
 
 void EntryForwarder::OnClientPacket(const PacketHeader& header,
@@ -148,6 +154,8 @@
   const auto placed = flows_.find(flow);
   if (placed == flows_.end())
     return;
+  ++route_use_.placements;
+  route_use_.last_placement = now;
   placed->second.attempt = attempt;
 }
 
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/synchronization/notification.h"
+#include "latency_metric.h"
 #include "skylarkshunt/base/bounded_ring.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/documents/document_download.h"
@@ -35,8 +36,10 @@
 constexpr EventId kPeerFetchFailed{5157, "configuration_fetch_failed"};
 constexpr EventId kNodeObjectsIgnored{5158, "node_objects_ignored"};
 constexpr EventId kPackingFailed{5159, "configuration_packing_failed"};
-
 constexpr EventId kObjectsIgnored{5160, "store_objects_ignored"};
+constexpr EventId kWatchAnswered{5161, "store_watch_answered"};
+constexpr EventId kRevisionOffered{5162, "configuration_offered"};
+constexpr EventId kCallSlow{5163, "store_call_slow"};
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
@@ -54,8 +57,12 @@
 /// Least time between two watches, which batches changes in quick succession. A
 /// tenth of the tightest bound on a change.
 constexpr absl::Duration kMinWatchInterval = absl::Milliseconds(300);
-/// Least time between two log lines about objects that cannot be read.
-constexpr absl::Duration kIgnoredLogInterval = absl::Seconds(10);
+/// Least time between two log lines about objects that cannot be read, and
+/// between two about slow calls.
+constexpr absl::Duration kRepeatedLogInterval = absl::Seconds(10);
+/// Time to an answer, beyond the wait of a watch, from which a call counts as
+/// slow. A slow store answers within 250 ms.
+constexpr absl::Duration kSlowAnswerTime = absl::Milliseconds(500);
 constexpr absl::Duration kInitialRetryDelay = absl::Milliseconds(100);
 constexpr absl::Duration kMaxRetryDelay = absl::Seconds(1);
 /// Longest time between two attempts of an entry that has no configuration.
@@ -116,6 +123,11 @@
         objects_ignored_(options.counters->Find(
             "skylarkshunt_store_objects_ignored_total",
             "Objects in answers of the store that could not be read.")),
+        answer_time_(*options.counters,
+                     "skylarkshunt_store_answer",
+                     "Time to an answer of the object store, without the wait "
+                     "of a watch.",
+                     ""),
         notices_(kMaxRevisionNotices),
         download_(options.random_seed),
         watches_(watches),
@@ -209,9 +221,12 @@
   /// Puts a configuration into force if it is newer than the current one.
   /// `packed` is its compressed form if a peer sent it. Returns false if the
   /// data thread cannot take it now, so that it must be read again.
+  /// `learned` is when the call that brought it began, or when a peer first
+  /// offered it.
   bool Adopt(Revision revision,
              Result<RouteTable> table,
              absl::string_view source,
+             absl::Time learned,
              absl::optional<PackedDocument> packed) {
     if (!table.has_value()) {
       LogLine(kConfigurationRejected, Severity::kError)
@@ -224,7 +239,8 @@
     if (ToNumber(revision) <= ToNumber(revision_))
       return true;
     auto routes = std::make_shared<const RouteTable>(std::move(table).value());
-    if (!options_.command(ConfigurationInForce{revision, routes}))
+    if (!options_.command(
+            ConfigurationInForce{revision, routes, MonotonicNow()}))
       return false;
     revision_ = revision;
     routes_ = routes;
@@ -235,30 +251,36 @@
         .Field("revision", ToNumber(revision))
         .Field("version", routes->version)
         .Field("routes", routes->routes.size())
-        .Field("source", source);
+        .Field("source", source)
+        .Field("took_ms", absl::ToInt64Milliseconds(MonotonicNow() - learned));
     return true;
   }
 
-  /// Puts the configuration among `records` into force. Returns false if it
-  /// must be read again.
-  bool AdoptRecords(absl::Span<const ConfigRecord> records) {
+  /// Puts the configuration among `records`, the answer to a call that began at
+  /// `begun`, into force. Returns false if it must be read again.
+  bool AdoptRecords(absl::Span<const ConfigRecord> records, absl::Time begun) {
     bool adopted = true;
     for (const ConfigRecord& record : records) {
       if (record.key == options_.key && !record.deleted &&
           IsNewer(record.revision)) {
         adopted = Adopt(record.revision, options_.read(record.body), "store",
-                        absl::nullopt);
+                        begun, absl::nullopt);
       }
     }
     return adopted;
   }
 
-  /// Counts a call, and logs when the store becomes unavailable or available
-  /// again. Returns whether the call succeeded.
+  /// Counts a call that began at `begun` and may have waited for `wait`, and
+  /// logs when the store becomes unavailable or available again. Returns
+  /// whether the call succeeded.
   template <typename T>
-  bool RecordCall(const Result<T>& result, absl::string_view what) {
+  bool RecordCall(const Result<T>& result,
+                  absl::string_view what,
+                  absl::Time begun,
+                  absl::Duration wait = absl::ZeroDuration()) {
     calls_.Increment();
     if (result.has_value()) {
+      RecordAnswerTime(what, MonotonicNow() - begun - wait);
       if (store_lost_) {
         LogLine(kStoreRegained)
             .Field("call", what)
@@ -293,13 +315,25 @@
     const absl::Time now = MonotonicNow();
     if (now < next_ignored_log_)
       return;
-    next_ignored_log_ = now + kIgnoredLogInterval;
+    next_ignored_log_ = now + kRepeatedLogInterval;
     LogLine(kObjectsIgnored, Severity::kWarning)
         .Field("prefix", prefix)
         .Field("count", ignored.count)
         .Field("first", ignored.first);
   }
 
+  void RecordAnswerTime(absl::string_view what, absl::Duration time) {
+    answer_time_.Record(std::max(time, absl::ZeroDuration()));
+    const absl::Time now = MonotonicNow();
+    if (time < kSlowAnswerTime || now < next_slow_log_)
+      return;
+    next_slow_log_ = now + kRepeatedLogInterval;
+    LogLine(kCallSlow, Severity::kWarning)
+        .Field("call", what)
+        .Field("time_ms", absl::ToInt64Milliseconds(time))
+        .Field("unanswered_ms", absl::ToInt64Milliseconds(UnansweredTime()));
+  }
+
   /// Time since the store last answered, or since the start. The configuration
   /// in force may be older than that of the store by this time.
   absl::Duration UnansweredTime() const {
@@ -377,11 +411,12 @@
 
   bool ListConfiguration(Revision& position) {
     PlatformClient& store = routes() == nullptr ? *initial_store_ : *store_;
+    const absl::Time begun = MonotonicNow();
     const Result<ObjectList> list = store.List(prefix_);
-    if (!RecordCall(list, "list_configuration"))
+    if (!RecordCall(list, "list_configuration", begun))
       return false;
     RecordIgnored(prefix_, list.value().ignored);
-    if (!AdoptRecords(list.value().objects))
+    if (!AdoptRecords(list.value().objects, begun))
       return false;
     position = list.value().revision;
     return true;
@@ -409,7 +444,7 @@
           .Field("error", batch.error().ToString());
       return false;
     }
-    if (!RecordCall(batch, "watch_configuration")) {
+    if (!RecordCall(batch, "watch_configuration", begun, wait)) {
       lost_watches_.Increment();
       watches_.OnLost();
       // A lost call has taken its time; a rejected one must not be repeated at
@@ -419,17 +454,32 @@
       return true;
     }
     watches_.OnAnswered();
+    LogAnswer(batch.value(), position, begun);
     RecordIgnored(prefix_, batch.value().ignored);
-    if (AdoptRecords(batch.value().changes))
+    if (AdoptRecords(batch.value().changes, begun))
       position = batch.value().revision;
     return true;
   }
 
+  /// Logs an answer that moves the position. At most one watch begins in
+  /// kMinWatchInterval, which bounds the number of lines.
+  void LogAnswer(const WatchBatch& batch, Revision position, absl::Time begun) {
+    if (batch.revision == position && batch.changes.empty())
+      return;
+    LogLine(kWatchAnswered)
+        .Field("position", ToNumber(position))
+        .Field("revision", ToNumber(batch.revision))
+        .Field("changes", batch.changes.size())
+        .Field("held", ToNumber(revision()))
+        .Field("took_ms", absl::ToInt64Milliseconds(MonotonicNow() - begun));
+  }
+
   /// Reads the addresses of all nodes, and registers the local one if it is
   /// missing or differs. Returns false if a call failed.
   bool ReadNodes(bool& registered) {
+    const absl::Time begun = MonotonicNow();
     const Result<ObjectList> list = store_->List(kNodesPrefix);
-    if (!RecordCall(list, "list_nodes"))
+    if (!RecordCall(list, "list_nodes", begun))
       return false;
     RecordIgnored(kNodesPrefix, list.value().ignored);
     const std::string key = absl::StrCat(kNodesPrefix, options_.node.name);
@@ -458,8 +508,9 @@
     ignored_objects_ = ignored;
     if (registered)
       return true;
+    const absl::Time write_begun = MonotonicNow();
     const Result<Revision> written = store_->Write(key, self.dump(), held);
-    if (!RecordCall(written, "register_node"))
+    if (!RecordCall(written, "register_node", write_begun))
       return false;
     registered = true;
     LogLine(kRegistered).Field("key", key).Field("value", self.dump());
@@ -497,6 +548,7 @@
       absl::optional<RevisionNotice> notice =
           wait > absl::ZeroDuration() ? notices_.Pop(wait) : notices_.TryPop();
       while (notice.has_value()) {
+        RecordOffer(*notice);
         download_.OnOffer(notice->address, notice->revision);
         notice = notices_.TryPop();
       }
@@ -511,6 +563,19 @@
     }
   }
 
+  /// Logs the first offer of a revision.
+  void RecordOffer(const RevisionNotice& notice) {
+    if (ToNumber(notice.revision) <= ToNumber(offered_))
+      return;
+    offered_ = notice.revision;
+    offered_at_ = MonotonicNow();
+    LogLine(kRevisionOffered)
+        .Field("revision", ToNumber(notice.revision))
+        .Field("node",
+               Endpoint{notice.address, options_.node.peers.port}.ToString())
+        .Field("held", ToNumber(revision()));
+  }
+
   /// Fetches a part of the configuration of a peer. Returns whether it
   /// completes a document.
   bool Fetch(const DocumentDownload::Request& request) {
@@ -550,7 +615,7 @@
     const Revision revision = document->revision;
     if (IsNewer(revision)) {
       Adopt(revision, DecodeRouteTable(body.value()), call.server.ToString(),
-            std::move(document));
+            offered_at_, std::move(document));
     }
     return true;
   }
@@ -594,10 +659,14 @@
   Counter& parts_received_;
   Counter& lost_watches_;
   Counter& objects_ignored_;
+  LatencyMetric answer_time_;
   BoundedRing<RevisionNotice> notices_;
-  /// Used by peer_thread_ only.
+  // The next three are used by peer_thread_ only.
   DocumentDownload download_;
-  // The next seven are used by store_thread_ only.
+  /// Highest revision that a peer has offered, and when it was first offered.
+  Revision offered_{};
+  absl::Time offered_at_ = MonotonicNow();
+  // The next eight are used by store_thread_ only.
   WatchSchedule watches_;
   size_t ignored_objects_ = 0;
   Backoff backoff_;
@@ -605,6 +674,7 @@
   absl::Time lost_since_;
   absl::Time last_answer_ = MonotonicNow();
   absl::Time next_ignored_log_ = absl::InfinitePast();
+  absl::Time next_slow_log_ = absl::InfinitePast();
   mutable absl::Mutex mutex_;
   Revision revision_ ABSL_GUARDED_BY(mutex_){};
   /// The current configuration and the previous one, for peers.
--- a/lib/node/data_command.h
+++ b/lib/node/data_command.h
@@ -18,6 +18,8 @@
 struct ConfigurationInForce {
   Revision revision{};
   std::shared_ptr<const RouteTable> routes;
+  /// When the command was sent.
+  absl::Time sent;
 };
 
 struct TargetLeft {
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "decision_fields.h"
 #include "node_loop.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/base/hash.h"
@@ -18,6 +19,8 @@
 constexpr EventId kAgentExpired{2113, "agent_forgotten"};
 constexpr EventId kSuspended{1011, "process_was_suspended"};
 constexpr EventId kReady{2114, "entry_ready"};
+constexpr EventId kRoutesInUse{2116, "routes_in_use"};
+constexpr EventId kRoutesIgnored{2117, "routes_ignored"};
 
 /// Number of addresses in a regular report, 5 bytes each. They add little to
 /// the report, and successive reports cover a fleet of 300 nodes within about
@@ -83,7 +86,9 @@
     absl::Time now;
 
     void operator()(const ConfigurationInForce& configuration) const {
-      loop.forwarder_.SetRoutes(configuration.routes, now);
+      loop.LogRouteChange(configuration,
+                          loop.forwarder_.SetRoutes(configuration.routes, now),
+                          now);
       loop.self_.configuration = configuration.revision;
       loop.nodes_.MakeSomeDue(now);
     }
@@ -208,6 +213,26 @@
       options_.notices.on_revision(address, revision);
   }
 
+  /// Tells when this thread began to use a configuration, and until when it
+  /// placed flows by the former one.
+  void LogRouteChange(const ConfigurationInForce& configuration,
+                      const RouteChange& change,
+                      absl::Time now) {
+    LogLine line(change.in_force ? kRoutesInUse : kRoutesIgnored,
+                 change.in_force ? Severity::kInfo : Severity::kWarning);
+    const bool placed =
+        change.former_use.last_placement != absl::InfinitePast();
+    line.Field("revision", ToNumber(configuration.revision))
+        .Field("version", configuration.routes->version)
+        .Field("queued_ms", absl::ToInt64Milliseconds(now - configuration.sent))
+        .Field("former_version", change.former_version)
+        .Field("former_placements", change.former_use.placements)
+        .Field(
+            "former_last_ms",
+            MillisecondsIfKnown(placed ? now - change.former_use.last_placement
+                                       : absl::InfiniteDuration()));
+  }
+
   void LogAgentChange(AgentChange change,
                       const AgentIdentity& agent,
                       const AgentLoad& load,
