Reproduce skipped changes with real processes: entries keep an old version

Callers' view: on a route that a confirmed version removed, or for a route that it added, all entries decide by the former version until the next change.

The new profile "changes" of the soak changes the configuration while the store's watches report nothing for a second, and then lets the store drop its history. A watch that ends in that second names a revision beyond the change, and the next watch goes on from there.

--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -91,6 +91,8 @@
                           now);
       loop.self_.configuration = configuration.revision;
       loop.nodes_.MakeSomeDue(now);
+      // Operators compare the nodes right after a change.
+      loop.PublishStatus(now);
     }
     void operator()(const NodeAddress& node) const {
       loop.nodes_.Learn(node, now);
--- a/standins/packet_fleet/fault_injector.cc
+++ b/standins/packet_fleet/fault_injector.cc
@@ -114,7 +114,8 @@
   const FaultKind kind = draw(profile_.unplanned);
   CauseUnplanned(kind);
   // Leaves time after the stable window in which nothing is excused.
-  if (kind == FaultKind::kKillAll || kind == FaultKind::kKillEntries)
+  if (kind == FaultKind::kKillAll || kind == FaultKind::kKillEntries ||
+      kind == FaultKind::kForgetHistory)
     next_ = now + kStableWindow + Draw(1500, 3500);
 }
 
--- a/standins/packet_fleet/fault_injector.h
+++ b/standins/packet_fleet/fault_injector.h
@@ -41,9 +41,13 @@
   bool IsSteady(size_t node, absl::Time now) const;
   /// When the store or the way to it was last disturbed.
   absl::Time store_disturbed_until() const { return store_until_; }
-  /// Version that was written last, 0 if none, and when.
-  uint64_t version() const { return version_; }
-  absl::Time version_written() const { return version_written_; }
+  /// A version of the configuration, and when the store confirmed it.
+  struct WrittenVersion {
+    uint64_t version = 0;
+    absl::Time confirmed;
+  };
+  /// Versions that were written, in their order.
+  const std::vector<WrittenVersion>& versions() const { return versions_; }
 
   const std::map<std::string, int>& faults() const { return faults_; }
   const std::map<std::string, int>& checks() const { return checks_; }
@@ -105,6 +109,7 @@
   void KillMany();
   void HarmStore();
   void HarmStorePath();
+  void ForgetHistory();
 
   void PollNode(size_t index, absl::Time now);
   void CheckExitCode(size_t index);
@@ -121,8 +126,7 @@
   std::multimap<absl::Time, Action> scheduled_;
   absl::Time next_;
   int bursts_ = 0;
-  uint64_t version_ = 0;
-  absl::Time version_written_;
+  std::vector<WrittenVersion> versions_;
   absl::Time store_until_ = absl::InfinitePast();
   std::map<std::string, int> faults_;
   std::map<std::string, int> checks_;
--- a/standins/packet_fleet/fault_kinds.cc
+++ b/standins/packet_fleet/fault_kinds.cc
@@ -84,6 +84,8 @@
       return HarmStorePath();
     case FaultKind::kKillMany:
       return KillMany();
+    case FaultKind::kForgetHistory:
+      return ForgetHistory();
     case FaultKind::kTerminateAndKill:
       Record("terminate_and_kill", name);
       Terminate(index);
@@ -178,8 +180,7 @@
   if (version == 0)
     return;
   Record("configuration", absl::StrCat(version, " change ", change));
-  version_ = version;
-  version_written_ = MonotonicNow();
+  versions_.push_back({version, MonotonicNow()});
 }
 
 void FaultInjector::ChangeRoutes() {
@@ -296,6 +297,24 @@
   At(end, true, [this] { fleet_.store().SetFault(Fault{}); });
 }
 
+/// Watches report no change for a second while the configuration changes, then
+/// the store has dropped its history.
+void FaultInjector::ForgetHistory() {
+  Record("store_history_forgotten");
+  Fault fault;
+  fault.mode = FaultMode::kDeafenWatches;
+  fleet_.store().SetFault(fault);
+  const absl::Time now = MonotonicNow();
+  const absl::Time end = now + absl::Seconds(1);
+  store_until_ = std::max(store_until_, end);
+  for (int i = 1 + static_cast<int>(random_() % 3); i > 0; --i) {
+    const int change = static_cast<int>(random_() % 3);
+    At(now + Draw(0, 300), false,
+       [this, change] { ChangeConfiguration(change); });
+  }
+  At(end, true, [this] { fleet_.store().SetFault(Fault{}); });
+}
+
 void FaultInjector::HarmStorePath() {
   const auto fault =
       static_cast<StreamFault>(1 + random_() % (kStreamFaults - 1));
--- a/standins/packet_fleet/packet_fleet.h
+++ b/standins/packet_fleet/packet_fleet.h
@@ -59,6 +59,7 @@
   /// Starts the process of a node that has ended. Errors: kNotFound, kSystem.
   Result<void> StartNode(size_t index);
   std::vector<Node>& nodes() { return nodes_; }
+  const std::vector<Node>& nodes() const { return nodes_; }
   std::vector<std::unique_ptr<FlowTarget>>& targets() { return targets_; }
   PlatformCore& store() { return store_->core(); }
   /// The way from the nodes to the store.
--- a/standins/packet_fleet/soak.cc
+++ b/standins/packet_fleet/soak.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "standins/packet_fleet/configuration_judge.h"
 #include "standins/packet_fleet/fault_injector.h"
 #include "standins/packet_fleet/flow_judge.h"
 
@@ -13,9 +14,6 @@
 /// After the last fault, time until service is back, and time that is judged.
 constexpr absl::Duration kRecoverTime = absl::Seconds(4);
 constexpr absl::Duration kJudgedTime = absl::Seconds(3);
-/// Time from a change of the configuration until it is in force, as in the
-/// deployments.
-constexpr absl::Duration kConfigurationBound = absl::Seconds(3);
 constexpr absl::Duration kRound = absl::Milliseconds(20);
 
 class Soak {
@@ -26,13 +24,14 @@
         faults_(*fleet_,
                 options.profile,
                 options.planned_only,
-                options.fleet.seed) {}
+                options.fleet.seed),
+        configuration_(*fleet_, faults_) {}
 
   SoakReport Run() {
     const absl::Time end = MonotonicNow() + options_.duration;
     while (MonotonicNow() < end) {
       faults_.Poll(MonotonicNow());
-      CheckConfiguration(MonotonicNow());
+      configuration_.Poll(MonotonicNow());
       absl::SleepFor(kRound);
     }
     faults_.EndAll();
@@ -42,33 +41,10 @@
   }
 
  private:
-  /// A version must be in force at every entry that serves, within its bound
-  /// from the change or from the end of a disturbance of the store or of the
-  /// entry.
-  void CheckConfiguration(absl::Time now) {
-    const uint64_t version = faults_.version();
-    if (version == checked_version_ ||
-        now < faults_.version_written() + kConfigurationBound ||
-        now < faults_.store_disturbed_until() + FaultInjector::kStableWindow +
-                  kConfigurationBound) {
-      return;
-    }
-    for (size_t i = 0; i < fleet_->nodes().size(); ++i) {
-      if (!fleet_->nodes()[i].entry || !faults_.IsSteady(i, now))
-        continue;
-      ++report_.checks["configuration_in_force"];
-      const uint64_t in_force = fleet_->VersionInForce(i);
-      if (in_force < version)
-        Break(absl::StrCat(fleet_->nodes()[i].name, " has version ", in_force,
-                           " instead of ", version));
-    }
-    checked_version_ = version;
-  }
-
   /// Faults are over: service must come back.
   void Settle() {
     absl::SleepFor(kRecoverTime);
-    CheckConfiguration(MonotonicNow());
+    configuration_.Finish();
     const ClientTally before = fleet_->clients().tally();
     absl::SleepFor(kJudgedTime);
     fleet_->clients().StopAsking();
@@ -91,6 +67,9 @@
       report_.checks[name] += count;
     for (const std::string& broken : faults_.broken())
       Break(broken);
+    report_.checks["configuration_in_force"] = configuration_.checks();
+    for (const std::string& broken : configuration_.broken())
+      Break(broken);
     for (const auto& target : fleet_->targets()) {
       const std::map<uint64_t, int> runs = target->runs();
       report_.checks["request_was_asked"] += static_cast<int>(runs.size());
@@ -134,7 +113,7 @@
   const SoakOptions options_;
   const std::unique_ptr<PacketFleet> fleet_;
   FaultInjector faults_;
-  uint64_t checked_version_ = 0;
+  ConfigurationJudge configuration_;
   SoakReport report_;
 };
 
--- a/standins/packet_fleet/soak_profile.cc
+++ b/standins/packet_fleet/soak_profile.cc
@@ -63,6 +63,19 @@
   return profile;
 }
 
+/// Changes of the configuration beside faults of the store and restarts of
+/// entries, with times between them in which rule CONFIG is judged.
+SoakProfile MakeChanges() {
+  SoakProfile profile;
+  profile.planned = {FaultKind::kChangeRoutes, FaultKind::kRollEntries};
+  profile.unplanned = {FaultKind::kForgetHistory, FaultKind::kForgetHistory,
+                       FaultKind::kForgetHistory, FaultKind::kHarmStore,
+                       FaultKind::kHarmStorePath, FaultKind::kKill};
+  profile.max_gap_ms = 3000;
+  profile.max_absence_ms = 800;
+  return profile;
+}
+
 }  // namespace
 
 Result<SoakProfile> SoakProfile::Find(absl::string_view name) {
@@ -73,10 +86,12 @@
     profile = MakeOverlap();
   } else if (name == "rolls") {
     profile = MakeRolls();
+  } else if (name == "changes") {
+    profile = MakeChanges();
   } else {
     return MakeError(ErrorKind::kInvalidArgument,
                      absl::StrCat("no profile \"", std::string(name), "\""),
-                     "choose usual, overlap, rolls or large");
+                     "choose usual, overlap, rolls, large or changes");
   }
   profile.name = std::string(name);
   return profile;
--- a/standins/packet_fleet/soak_profile.h
+++ b/standins/packet_fleet/soak_profile.h
@@ -36,6 +36,7 @@
   kKillEntries,
   kPauseInBurst,
   kCrashTargetBriefly,
+  kForgetHistory,
 };
 
 /// Which faults a soak draws, how close they are, and the load beside them.
@@ -56,7 +57,7 @@
   /// Least share of requests that is answered after the faults.
   double least_served = 0.97;
 
-  /// Returns the profile usual, overlap, rolls or large. Errors:
+  /// Returns the profile usual, overlap, rolls, large or changes. Errors:
   /// kInvalidArgument. Thread-safe.
   static Result<SoakProfile> Find(absl::string_view name);
 
--- a/standins/platform/fault.cc
+++ b/standins/platform/fault.cc
@@ -7,8 +7,9 @@
 namespace skylarkshunt {
 namespace {
 
-constexpr std::array<absl::string_view, 6> kModes = {
-    "none", "down", "slow", "lose_answers", "expire_watches", "lose_watches"};
+constexpr std::array<absl::string_view, 7> kModes = {
+    "none",           "down",         "slow",          "lose_answers",
+    "expire_watches", "lose_watches", "deafen_watches"};
 constexpr int64_t kMaxDelayMs = 600'000;
 constexpr int64_t kMaxCount = 1'000'000;
 
--- a/standins/platform/fault.h
+++ b/standins/platform/fault.h
@@ -18,6 +18,9 @@
   kLoseAnswers,    ///< Writes take effect; their answers break off.
   kExpireWatches,  ///< Watches are answered 410; the change log is dropped.
   kLoseWatches,    ///< Watches, also waiting ones, are never answered.
+  /// Watches report no change, though one that ends tells the current revision.
+  /// With the end of the fault the change log is dropped.
+  kDeafenWatches,
 };
 
 /// Returns the name of `mode` in POST /fault. Thread-safe.
--- a/standins/platform/platform_core.cc
+++ b/standins/platform/platform_core.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "absl/time/clock.h"
 
@@ -174,10 +175,12 @@
       return MakeAnswer(kServiceUnavailable);
     if (TakeFault(FaultMode::kLoseWatches))
       return LoseCall();
-    const absl::optional<std::vector<StoredObject>> changes =
+    absl::optional<std::vector<StoredObject>> changes =
         store_.ChangesAfter(prefix, after);
     if (!changes.has_value())
       return MakeAnswer(kGone);
+    if (fault_.mode == FaultMode::kDeafenWatches)
+      changes->clear();
     if (!changes->empty() || absl::Now() >= end) {
       return MakeAnswer(kOk, {{"current-rev", store_.revision()},
                               {"events", ToEvents(*changes)}});
@@ -199,9 +202,11 @@
 
 void PlatformCore::SetFault(const Fault& fault) {
   absl::MutexLock lock(&mutex_);
-  fault_ = fault;
-  if (fault.mode == FaultMode::kExpireWatches)
+  const FaultMode former = std::exchange(fault_, fault).mode;
+  if (fault.mode == FaultMode::kExpireWatches ||
+      former == FaultMode::kDeafenWatches) {
     store_.DropLog();
+  }
   changed_.SignalAll();
 }
 
