Go on from the revision of a watch only after a later answer confirms it

What callers saw: requests run as only an older version allows, on all entries alike, until the next change of the configuration.

Cause: the follower took the revision that an answer to a watch names for the position of the next watch. A watch that ends while the store's watches report nothing names a revision beyond changes that it did not report. The next watch starts behind them and never brings them. Entries watch in step, so that all of them skip the same change and no node can tell the others. The class of fault: a cursor that moves past data that was not received, on the word of the other side.

Now a change moves the position to itself, and the revision of an answer is used once it is 3 s old and a later watch from before it has been answered. No call is added. The same class stands in PlatformLoop, the watch for the product's own callers, which listed again after 60 s; it uses the same class.

Evidence: ChangeThatAWatchDidNotSeeIsNotSkipped failed before and passes.

--- a/include/skylarkshunt/configuration/config_record.h
+++ b/include/skylarkshunt/configuration/config_record.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "absl/types/span.h"
 #include "skylarkshunt/base/ids.h"
 
 namespace skylarkshunt {
@@ -18,6 +19,17 @@
   std::string body;
 };
 
+/// Returns the highest revision of `records`, or 0 if there are none.
+/// Thread-safe.
+inline Revision NewestRevision(absl::Span<const ConfigRecord> records) {
+  Revision newest{};
+  for (const ConfigRecord& record : records) {
+    if (ToNumber(record.revision) > ToNumber(newest))
+      newest = record.revision;
+  }
+  return newest;
+}
+
 }  // namespace skylarkshunt
 
 #endif  // SKYLARKSHUNT_CONFIGURATION_CONFIG_RECORD_H_
--- a/lib/entry/platform_loop.cc
+++ b/lib/entry/platform_loop.cc
@@ -185,7 +185,8 @@
   }
   OnSuccess();
   const Revision revision = list.value().revision;
-  watched_.fill(revision);
+  for (WatchPosition& position : watched_)
+    position.Reset(revision);
   next_list_ = now + backoff_.Jitter(kRelistInterval);
   LogLine(kPlatformListed)
       .Field("revision", ToNumber(revision))
@@ -211,10 +212,11 @@
 
 void PlatformLoop::WatchOnce() {
   calls_.Increment();
-  Revision& after = watched_[next_prefix_];
+  WatchPosition& position = watched_[next_prefix_];
   const absl::string_view prefix = kPrefixes[next_prefix_];
   next_prefix_ = (next_prefix_ + 1) % kPrefixes.size();
-  Result<WatchBatch> batch = options_.client->Watch(prefix, after, kWatchWait);
+  Result<WatchBatch> batch =
+      options_.client->Watch(prefix, position.revision(), kWatchWait);
   if (!batch.has_value()) {
     if (batch.error().kind == ErrorKind::kNotFound)
       need_list_ = true;
@@ -223,7 +225,8 @@
     return;
   }
   OnSuccess();
-  after = batch.value().revision;
+  position.OnAnswered(batch.value().revision,
+                      NewestRevision(batch.value().changes), MonotonicNow());
   if (batch.value().changes.empty())
     return;
   if (!Push(PlatformChanges{std::move(batch.value().changes)}))
--- a/lib/entry/platform_loop.h
+++ b/lib/entry/platform_loop.h
@@ -16,6 +16,7 @@
 #include "skylarkshunt/base/counters.h"
 #include "skylarkshunt/platform/platform_client.h"
 #include "skylarkshunt/process/backoff.h"
+#include "skylarkshunt/process/watch_position.h"
 
 namespace skylarkshunt {
 
@@ -42,6 +43,8 @@
 /// turn, so that it bounds the delay of a change, of a directory write and of
 /// the end of the process.
 inline constexpr absl::Duration kWatchWait = absl::Milliseconds(500);
+/// Time after which the revision that an answer to a watch names is trusted.
+inline constexpr absl::Duration kWatchSettleTime = absl::Seconds(3);
 /// Time between two lists while a watch goes on: the repair of a watch that
 /// skipped a change.
 inline constexpr absl::Duration kRelistInterval = absl::Seconds(60);
@@ -107,7 +110,8 @@
   bool need_list_ = true;
   bool reachable_ = true;
   /// Where the watch of each prefix goes on, and the prefix that is next.
-  std::array<Revision, 2> watched_{};
+  std::array<WatchPosition, 2> watched_{WatchPosition(kWatchSettleTime),
+                                        WatchPosition(kWatchSettleTime)};
   size_t next_prefix_ = 0;
   absl::Time not_before_ = absl::InfinitePast();
   absl::Time next_list_ = absl::InfinitePast();
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -22,6 +22,7 @@
 #include "skylarkshunt/net/poller.h"
 #include "skylarkshunt/platform/platform_client.h"
 #include "skylarkshunt/process/backoff.h"
+#include "skylarkshunt/process/watch_position.h"
 #include "skylarkshunt/process/watch_schedule.h"
 
 namespace skylarkshunt {
@@ -57,6 +58,10 @@
 /// Least time between two watches, which batches changes in quick succession. A
 /// tenth of the tightest bound on a change.
 constexpr absl::Duration kMinWatchInterval = absl::Milliseconds(300);
+/// Time after which the revision that an answer to a watch names is trusted. A
+/// store may answer watches without the changes of about a second before it
+/// drops its history.
+constexpr absl::Duration kSettleTime = absl::Seconds(3);
 /// Least time between two log lines about objects that cannot be read, and
 /// between two about slow calls.
 constexpr absl::Duration kRepeatedLogInterval = absl::Seconds(10);
@@ -347,10 +352,10 @@
   void RunStore() {
     if (has_slow_link())
       AwaitPeers();
-    Revision position = revision();
+    position_.Reset(revision());
     // After a configuration of a peer, watch for changes without a list. A list
     // would transfer the same configuration again.
-    bool listed = position != Revision{};
+    bool listed = position_.revision() != Revision{};
     bool registered = false;
     bool nodes_read = false;
     absl::Time next_nodes = absl::InfinitePast();
@@ -359,7 +364,7 @@
       // An agent reads the configuration once, for the health check of its
       // target.
       if (!listed) {
-        listed = ListConfiguration(position);
+        listed = ListConfiguration();
         if (!listed && is_entry()) {
           // An entry without a configuration serves nothing, so it must detect
           // quickly that the store is available again.
@@ -389,9 +394,8 @@
       if (stop_.HasBeenNotified())
         return;
       next_watch = MonotonicNow() + kMinWatchInterval;
-      listed =
-          WatchConfiguration(position, needs_nodes ? kIsolatedListInterval
-                                                   : absl::InfiniteDuration());
+      listed = WatchConfiguration(needs_nodes ? kIsolatedListInterval
+                                              : absl::InfiniteDuration());
     }
   }
 
@@ -409,7 +413,7 @@
       Sleep(kPeerFetchCheckInterval);
   }
 
-  bool ListConfiguration(Revision& position) {
+  bool ListConfiguration() {
     PlatformClient& store = routes() == nullptr ? *initial_store_ : *store_;
     const absl::Time begun = MonotonicNow();
     const Result<ObjectList> list = store.List(prefix_);
@@ -418,18 +422,19 @@
     RecordIgnored(prefix_, list.value().ignored);
     if (!AdoptRecords(list.value().objects, begun))
       return false;
-    position = list.value().revision;
+    position_.Reset(list.value().revision);
     return true;
   }
 
   /// Waits for a change for `longest` at most. Returns false when the
   /// configuration must be listed again.
-  bool WatchConfiguration(Revision& position, absl::Duration longest) {
+  bool WatchConfiguration(absl::Duration longest) {
     const absl::Duration wait =
         std::min(longest, watches_.NextWait(options_.entry_rank()));
     const absl::Time begun = MonotonicNow();
     PlatformClient& store = watches_.is_probing() ? *store_ : *watch_store_;
-    const Result<WatchBatch> batch = store.Watch(prefix_, position, wait);
+    const Result<WatchBatch> batch =
+        store.Watch(prefix_, position_.revision(), wait);
     // Changes that cannot be parsed, or that exceed an answer, would be sent
     // again at every watch from the same position.
     const bool list_again =
@@ -440,7 +445,7 @@
     if (list_again) {
       calls_.Increment();
       LogLine(kStoreHistoryGone)
-          .Field("position", ToNumber(position))
+          .Field("position", ToNumber(position_.revision()))
           .Field("error", batch.error().ToString());
       return false;
     }
@@ -454,20 +459,24 @@
       return true;
     }
     watches_.OnAnswered();
-    LogAnswer(batch.value(), position, begun);
+    LogAnswer(batch.value(), begun);
     RecordIgnored(prefix_, batch.value().ignored);
-    if (AdoptRecords(batch.value().changes, begun))
-      position = batch.value().revision;
+    if (AdoptRecords(batch.value().changes, begun)) {
+      position_.OnAnswered(batch.value().revision,
+                           NewestRevision(batch.value().changes),
+                           MonotonicNow());
+    }
     return true;
   }
 
-  /// Logs an answer that moves the position. At most one watch begins in
+  /// Logs an answer that names a new revision. At most one watch begins in
   /// kMinWatchInterval, which bounds the number of lines.
-  void LogAnswer(const WatchBatch& batch, Revision position, absl::Time begun) {
-    if (batch.revision == position && batch.changes.empty())
+  void LogAnswer(const WatchBatch& batch, absl::Time begun) {
+    const Revision named = std::exchange(named_, batch.revision);
+    if (batch.revision == named && batch.changes.empty())
       return;
     LogLine(kWatchAnswered)
-        .Field("position", ToNumber(position))
+        .Field("position", ToNumber(position_.revision()))
         .Field("revision", ToNumber(batch.revision))
         .Field("changes", batch.changes.size())
         .Field("held", ToNumber(revision()))
@@ -666,8 +675,11 @@
   /// Highest revision that a peer has offered, and when it was first offered.
   Revision offered_{};
   absl::Time offered_at_ = MonotonicNow();
-  // The next eight are used by store_thread_ only.
+  // The next ten are used by store_thread_ only.
   WatchSchedule watches_;
+  WatchPosition position_{kSettleTime};
+  /// Revision that the last answer to a watch named.
+  Revision named_{};
   size_t ignored_objects_ = 0;
   Backoff backoff_;
   bool store_lost_ = false;
--- /dev/null
+++ b/lib/process/watch_position.cc
@@ -0,0 +1,31 @@
+#include "skylarkshunt/process/watch_position.h"
+
+namespace skylarkshunt {
+namespace {
+
+bool IsLower(Revision a, Revision b) {
+  return ToNumber(a) < ToNumber(b);
+}
+
+}  // namespace
+
+void WatchPosition::Reset(Revision revision) {
+  revision_ = revision;
+  unconfirmed_.reset();
+}
+
+void WatchPosition::OnAnswered(Revision current,
+                               Revision newest_change,
+                               absl::Time now) {
+  if (IsLower(revision_, newest_change))
+    revision_ = newest_change;
+  if (unconfirmed_.has_value() && now >= unconfirmed_->named + settle_time_) {
+    if (IsLower(revision_, unconfirmed_->revision))
+      revision_ = unconfirmed_->revision;
+    unconfirmed_.reset();
+  }
+  if (!unconfirmed_.has_value() && IsLower(revision_, current))
+    unconfirmed_ = Unconfirmed{current, now};
+}
+
+}  // namespace skylarkshunt
--- a/unittests/node/configuration_follower_test.cc
+++ b/unittests/node/configuration_follower_test.cc
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(UnresponsiveStoreIsQueriedAgainWithinItsTimeout);
   CPPUNIT_TEST(LostWatchIsFoundWithinTheChangeLimit);
   CPPUNIT_TEST(WatchLostDuringAnOutageIsFoundWithinTheChangeLimit);
+  CPPUNIT_TEST(ChangeThatAWatchDidNotSeeIsNotSkipped);
   CPPUNIT_TEST(ConfigurationIsFollowedWhileNodesCannotBeListed);
   CPPUNIT_TEST(ConfigurationThatTheDataThreadRefusedIsReadAgain);
   CPPUNIT_TEST(ChangesThatExceedAnAnswerAreListed);
@@ -164,6 +165,24 @@
     CPPUNIT_ASSERT(received_.Await(2, NodeOptions().change_limit));
   }
 
+  // Guards against a confirmed change that is skipped until the next one, since
+  // a watch that ended without it named a revision beyond it (issue 35).
+  void ChangeThatAWatchDidNotSeeIsNotSkipped() {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    AwaitWatches(1);
+    store_->core().SetFault({FaultMode::kDeafenWatches});
+    Write(2);
+    const uint64_t begun = AwaitWatches(2);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, received_.versions().size());
+    store_->core().SetFault(Fault{});
+    CPPUNIT_ASSERT(received_.Await(2, NodeOptions().change_limit));
+    // The store has dropped its history, and the position has caught up.
+    AwaitWatches(begun + 4);
+    Write(3);
+    CPPUNIT_ASSERT(received_.Await(3, NodeOptions().change_limit));
+  }
+
   // Guards against an entry that stops following the configuration because the
   // list of nodes fails or no other node is responsive.
   void ConfigurationIsFollowedWhileNodesCannotBeListed() {
@@ -346,8 +365,8 @@
   }
 
  private:
-  /// Waits until the store has got `count` watches.
-  void AwaitWatches(uint64_t count) {
+  /// Waits until the store has got `count` watches. Returns their number.
+  uint64_t AwaitWatches(uint64_t count) {
     const absl::Time limit = absl::Now() + kLongWait;
     const auto watches = [this] {
       return store_->core()
@@ -357,6 +376,7 @@
     while (watches() < count && absl::Now() < limit)
       absl::SleepFor(absl::Milliseconds(5));
     CPPUNIT_ASSERT(watches() >= count);
+    return watches();
   }
 
   /// Starts an HTTP server between the follower and the store.
