Give up calls of the store whose answers trickle

An answer that has begun extended its deadline with every byte, by up to 20 s. The store thread of an entry waits for one call at a time, so that a connection on which an answer trickles held back a confirmed change for that long, and all entries alike where the store is slow in this way.

TricklingAnswerTimesOut fails where every byte counts as progress, as LongAnswerWithProgressOutlasts- TheTimeout shows for the same server.

--- a/include/skylarkshunt/http/http_client.h
+++ b/include/skylarkshunt/http/http_client.h
@@ -30,6 +30,10 @@
   /// Longest time without progress within an answer that has begun. A long
   /// answer on a slow link may thus exceed `timeout`. Zero disables it.
   absl::Duration progress_timeout = absl::ZeroDuration();
+  /// Least number of bytes that count as progress. An answer that comes in
+  /// smaller pieces than this in each `progress_timeout` is given up at
+  /// `timeout`.
+  size_t progress_bytes = 1;
   /// Limits the time by which `progress_timeout` may extend `timeout`.
   absl::Duration transfer_limit = absl::Seconds(20);
   /// Limits the time for connecting, within `timeout`.
--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -53,7 +53,7 @@
     /// Bounds each call, or the time to the first byte of its answer where
     /// `progress_timeout` is set.
     absl::Duration timeout = absl::Seconds(2);
-    /// Longest silence within an answer that has begun; zero for none.
+    /// Longest time without 16 KiB of an answer that has begun; zero for none.
     absl::Duration progress_timeout = absl::ZeroDuration();
   };
 
--- a/lib/http/http_client.cc
+++ b/lib/http/http_client.cc
@@ -131,18 +131,22 @@
 
   void Receive() {
     http::async_read_some(stream_, buffer_, parser_,
-                          [this](beast::error_code error, size_t) {
+                          [this](beast::error_code error, size_t bytes) {
                             error_ = error;
                             if (error || parser_.is_done())
                               return;
-                            ExtendForProgress();
+                            ExtendForProgress(bytes);
                             Receive();
                           });
   }
 
-  void ExtendForProgress() {
-    if (call_.progress_timeout == absl::ZeroDuration())
+  void ExtendForProgress(size_t bytes) {
+    progress_ += bytes;
+    if (call_.progress_timeout == absl::ZeroDuration() ||
+        progress_ < call_.progress_bytes) {
       return;
+    }
+    progress_ = 0;
     const auto limit =
         deadline_ + absl::ToChronoMicroseconds(call_.transfer_limit);
     const auto progress_deadline =
@@ -161,6 +165,8 @@
   beast::flat_buffer buffer_;
   beast::error_code error_;
   bool connected_ = false;
+  /// Bytes received since the deadline was last extended.
+  size_t progress_ = 0;
 };
 
 }  // namespace
--- a/unittests/http/http_client_test.cc
+++ b/unittests/http/http_client_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(LongAnswerWithProgressOutlastsTheTimeout);
   CPPUNIT_TEST(StalledAnswerTimesOut);
+  CPPUNIT_TEST(TricklingAnswerTimesOut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,6 +86,20 @@
     CPPUNIT_ASSERT(!answer.has_value());
     CPPUNIT_ASSERT(answer.error().kind == ErrorKind::kOutcomeUnknown);
   }
+
+  // Guards against a call that holds back a configuration change for up to the
+  // transfer limit, because its answer comes a few bytes at a time.
+  void TricklingAnswerTimesOut() {
+    const SlowServer server(absl::Milliseconds(50));
+    HttpCall call;
+    call.server = server.address();
+    call.timeout = absl::Milliseconds(200);
+    call.progress_timeout = absl::Seconds(10);
+    call.progress_bytes = kPieces * kPieceBytes;
+    const Result<HttpAnswer> answer = Call(call);
+    CPPUNIT_ASSERT(!answer.has_value());
+    CPPUNIT_ASSERT(answer.error().kind == ErrorKind::kOutcomeUnknown);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
