Pause between calls of the store by a clock that does not step

Abseil's timed waits end at a time of the wall clock. A step back by some seconds lengthened the pause before the next watch by as much, beyond the limit of a change. The threads of the follower now wait on a descriptor, as the data threads do.

--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -1,6 +1,7 @@
 #include "configuration_follower.h"
 
 #include <algorithm>
+#include <atomic>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
@@ -11,7 +12,6 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/synchronization/mutex.h"
-#include "absl/synchronization/notification.h"
 #include "latency_metric.h"
 #include "skylarkshunt/base/bounded_ring.h"
 #include "skylarkshunt/base/event.h"
@@ -98,7 +98,8 @@
                 const WatchSchedule& watches,
                 std::unique_ptr<PlatformClient> store,
                 std::unique_ptr<PlatformClient> watch,
-                std::unique_ptr<PlatformClient> first)
+                std::unique_ptr<PlatformClient> first,
+                Wakeup stop)
       : options_(options),
         prefix_(options.key.substr(0, options.key.find('/') + 1)),
         store_(std::move(store)),
@@ -137,9 +138,11 @@
         download_(options.random_seed),
         watches_(watches),
         backoff_(kInitialRetryDelay, kMaxRetryDelay, options.random_seed),
-        budget_(options.node.link_bytes_per_second) {}
+        budget_(options.node.link_bytes_per_second),
+        stop_(std::move(stop)) {}
 
   ~StoreFollower() override {
+    stopping_.store(true);
     stop_.Notify();
     if (store_thread_.joinable())
       store_thread_.join();
@@ -345,9 +348,9 @@
     return MonotonicNow() - last_answer_;
   }
 
-  void Sleep(absl::Duration time) {
-    stop_.WaitForNotificationWithTimeout(time);
-  }
+  /// Waits for `time` or until the end. The clock of the wait does not step, so
+  /// that a step of the wall clock does not delay a change.
+  void Sleep(absl::Duration time) { WaitReadable({stop_.fd()}, time); }
 
   void RunStore() {
     if (has_slow_link())
@@ -360,7 +363,7 @@
     bool nodes_read = false;
     absl::Time next_nodes = absl::InfinitePast();
     absl::Time next_watch = absl::InfinitePast();
-    while (!stop_.HasBeenNotified()) {
+    while (!stopping_.load()) {
       // An agent reads the configuration once, for the health check of its
       // target.
       if (!listed) {
@@ -391,7 +394,7 @@
       // The configuration is followed while the list of nodes fails too.
       if (next_watch > now)
         Sleep(next_watch - now);
-      if (stop_.HasBeenNotified())
+      if (stopping_.load())
         return;
       next_watch = MonotonicNow() + kMinWatchInterval;
       listed = WatchConfiguration(needs_nodes ? kIsolatedListInterval
@@ -408,8 +411,7 @@
   /// fraction of the bytes that the store would send.
   void AwaitPeers() {
     const absl::Time limit = MonotonicNow() + kPeerFetchWait;
-    while (routes() == nullptr && MonotonicNow() < limit &&
-           !stop_.HasBeenNotified())
+    while (routes() == nullptr && MonotonicNow() < limit && !stopping_.load())
       Sleep(kPeerFetchCheckInterval);
   }
 
@@ -548,7 +550,7 @@
 
   void RunPeers() {
     absl::Time next_document = absl::InfinitePast();
-    while (!stop_.HasBeenNotified()) {
+    while (!stopping_.load()) {
       const absl::Time now = MonotonicNow();
       const absl::Time next =
           std::max(next_document, download_.NextRequestTime(revision()));
@@ -694,7 +696,9 @@
   PackedDocument previous_ ABSL_GUARDED_BY(mutex_);
   TransferBudget budget_ ABSL_GUARDED_BY(mutex_);
   std::shared_ptr<const RouteTable> routes_ ABSL_GUARDED_BY(mutex_);
-  absl::Notification stop_;
+  /// Ends the waits of both threads; never drained.
+  const Wakeup stop_;
+  std::atomic<bool> stopping_{false};
   std::thread store_thread_;
   std::thread peer_thread_;
 };
@@ -713,8 +717,10 @@
   BOOST_OUTCOME_TRY(watch, PlatformClient::Create(client));
   client.timeout = kInitialTimeout;
   BOOST_OUTCOME_TRY(first, PlatformClient::Create(client));
+  BOOST_OUTCOME_TRY(stop, Wakeup::Create());
   return std::unique_ptr<ConfigurationFollower>(std::make_unique<StoreFollower>(
-      options, watches, std::move(store), std::move(watch), std::move(first)));
+      options, watches, std::move(store), std::move(watch), std::move(first),
+      std::move(stop)));
 }
 
 }  // namespace skylarkshunt
--- a/lib/node/configuration_follower.h
+++ b/lib/node/configuration_follower.h
@@ -41,7 +41,7 @@
   };
 
   /// Errors: kInvalidArgument for a store address without a port, and for a
-  /// change limit that is not positive.
+  /// change limit that is not positive; kSystem if no descriptor is free.
   static Result<std::unique_ptr<ConfigurationFollower>> Create(
       const Options& options);
   virtual ~ConfigurationFollower() = default;
