--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -215,8 +215,8 @@
       options_.notices.on_revision(address, revision);
   }
 
-  /// Tells when this thread began to use a configuration, and until when it
-  /// placed flows by the former one.
+  /// Logs since when this thread uses a configuration, and until when it placed
+  /// flows by the former one.
   void LogRouteChange(const ConfigurationInForce& configuration,
                       const RouteChange& change,
                       absl::Time now) {
