Do not move a watch beyond the revision that the store names

An odd object of another writer could name one beyond the store's own, and the next watch would have skipped every change up to it. Such an answer moves the position to the revision that the store names, as before.

ChangeBeyondTheNamedRevisionIsNotBelieved failed before. OddObjectsOfAnotherWriterLeaveTheOthersInUse makes a second change; it passed before, too, since the stand-in store answers a watch from the future at once.

--- a/include/skylarkshunt/process/watch_position.h
+++ b/include/skylarkshunt/process/watch_position.h
@@ -20,6 +20,7 @@
   explicit WatchPosition(absl::Duration settle_time)
       : settle_time_(settle_time) {}
 
+  /// Returns the revision after which the next watch asks for changes.
   Revision revision() const { return revision_; }
 
   /// Goes on from `revision`, up to which all changes are known from a list or
@@ -28,7 +29,8 @@
 
   /// Records the answer, at `now`, of a watch from revision(). `current` is the
   /// revision that it names, `newest_change` the highest one of its changes, or
-  /// 0 without one. If that is not above revision(), `current` is used at once.
+  /// 0 without one. If that is not above revision(), or is above `current`,
+  /// `current` is used at once.
   /// Precondition: the watch began after the previous answer.
   void OnAnswered(Revision current, Revision newest_change, absl::Time now);
 
--- a/lib/process/watch_position.cc
+++ b/lib/process/watch_position.cc
@@ -21,7 +21,10 @@
   // It comes again with each watch until the position is beyond the removal.
   const bool is_repeated =
       newest_change != Revision{} && !IsLower(revision_, newest_change);
-  const Revision next = is_repeated ? current : newest_change;
+  // No change is newer than the store. Such a revision comes from an object
+  // that another writer left.
+  const bool is_beyond = IsLower(current, newest_change);
+  const Revision next = is_repeated || is_beyond ? current : newest_change;
   if (IsLower(revision_, next))
     revision_ = next;
   if (unconfirmed_.has_value() && now >= unconfirmed_->named + settle_time_) {
--- a/unittests/node/configuration_follower_test.cc
+++ b/unittests/node/configuration_follower_test.cc
@@ -293,8 +293,12 @@
       });
       Follow(proxy->local().front());
       CPPUNIT_ASSERT(received_.Await(written_));
-      Write(written_ + 1);
-      CPPUNIT_ASSERT(received_.Await(written_, NodeOptions().change_limit));
+      // The object's revision is beyond that of the store. The second change
+      // shows that the watch does not go on from there.
+      for (int change = 0; change < 2; ++change) {
+        Write(written_ + 1);
+        CPPUNIT_ASSERT(received_.Await(written_, NodeOptions().change_limit));
+      }
       follower_.reset();
     }
     CPPUNIT_ASSERT(received_.nodes().empty());
--- a/unittests/node/watch_position_test.cc
+++ b/unittests/node/watch_position_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(ShortWatchesDoNotConfirmEarly);
   CPPUNIT_TEST(ChangeMovesThePositionToItselfOnly);
   CPPUNIT_TEST(RepeatedChangeDoesNotHoldThePosition);
+  CPPUNIT_TEST(ChangeBeyondTheNamedRevisionIsNotBelieved);
   CPPUNIT_TEST(ListReplacesThePosition);
   CPPUNIT_TEST_SUITE_END();
 
@@ -60,6 +61,13 @@
     CPPUNIT_ASSERT(position_.revision() == Revision{14});
   }
 
+  // Guards against a position beyond all later changes, taken from an object
+  // whose revision another writer made up.
+  void ChangeBeyondTheNamedRevisionIsNotBelieved() {
+    position_.OnAnswered(Revision{14}, Revision{999'999}, At(0));
+    CPPUNIT_ASSERT(position_.revision() == Revision{14});
+  }
+
   void ListReplacesThePosition() {
     position_.OnAnswered(Revision{12}, Revision{}, At(0));
     position_.Reset(Revision{20});
