Let the first configuration of an entry come slowly

Its call goes on with every byte again; no change waits behind it. The number is an option of the client now.

--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKSHUNT_PLATFORM_PLATFORM_CLIENT_H_
 #define SKYLARKSHUNT_PLATFORM_PLATFORM_CLIENT_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -53,8 +54,10 @@
     /// Bounds each call, or the time to the first byte of its answer where
     /// `progress_timeout` is set.
     absl::Duration timeout = absl::Seconds(2);
-    /// Longest time without 16 KiB of an answer that has begun; zero for none.
+    /// Longest time without `progress_bytes` of an answer that has begun; zero
+    /// for none.
     absl::Duration progress_timeout = absl::ZeroDuration();
+    size_t progress_bytes = 1;
   };
 
   static Result<std::unique_ptr<PlatformClient>> Create(const Options& options);
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -78,6 +78,9 @@
 constexpr absl::Duration kPeerFetchTimeout = absl::Milliseconds(800);
 /// Longest time without progress within an answer of the store.
 constexpr absl::Duration kStoreProgressTimeout = absl::Milliseconds(1000);
+/// Bytes in that time which count as progress: a small part of the slowest
+/// link. A connection that trickles must not hold back a change.
+constexpr size_t kStoreProgressBytes = 16'384;
 /// Least time between two documents that an agent fetches. An agent does not
 /// route. It keeps the configuration only for entries that start while the
 /// store is unavailable.
@@ -712,10 +715,14 @@
   client.platform = options.node.store;
   client.timeout = kStoreTimeout;
   client.progress_timeout = kStoreProgressTimeout;
+  client.progress_bytes = kStoreProgressBytes;
   BOOST_OUTCOME_TRY(store, PlatformClient::Create(client));
   client.timeout = watches.answer_timeout();
   BOOST_OUTCOME_TRY(watch, PlatformClient::Create(client));
+  // The first configuration may come slowly. Its call has too short a timeout
+  // for a part of it on a busy link.
   client.timeout = kInitialTimeout;
+  client.progress_bytes = 1;
   BOOST_OUTCOME_TRY(first, PlatformClient::Create(client));
   BOOST_OUTCOME_TRY(stop, Wakeup::Create());
   return std::unique_ptr<ConfigurationFollower>(std::make_unique<StoreFollower>(
