--- a/standins/packet_fleet/configuration_judge.cc
+++ b/standins/packet_fleet/configuration_judge.cc
@@ -9,14 +9,12 @@
 namespace {
 
 constexpr absl::Duration kAskInterval = absl::Milliseconds(250);
-/// Calls in a row without an answer after which an entry counts as broken.
-constexpr int kMostUnanswered = 4;
 
 }  // namespace
 
 ConfigurationJudge::ConfigurationJudge(const PacketFleet& fleet,
                                        const FaultInjector& faults)
-    : fleet_(fleet), faults_(faults), entries_(fleet.nodes().size()) {}
+    : fleet_(fleet), faults_(faults), reported_(fleet.nodes().size()) {}
 
 uint64_t ConfigurationJudge::DueVersion(absl::Time now) const {
   uint64_t due = 0;
@@ -36,28 +34,25 @@
       now < faults_.store_disturbed_until() + FaultInjector::kStableWindow) {
     return;
   }
-  for (size_t i = 0; i < entries_.size(); ++i) {
-    if (fleet_.nodes()[i].entry && entries_[i].reported < due &&
+  for (size_t i = 0; i < reported_.size(); ++i) {
+    if (fleet_.nodes()[i].entry && reported_[i] < due &&
         faults_.IsSteady(i, now))
       Ask(i, due);
   }
 }
 
 void ConfigurationJudge::Finish() {
-  for (int i = 0; i < kMostUnanswered; ++i) {
-    next_ = absl::InfinitePast();
-    Poll(MonotonicNow());
-  }
+  next_ = absl::InfinitePast();
+  Poll(MonotonicNow());
 }
 
 void ConfigurationJudge::Ask(size_t entry, uint64_t due) {
-  EntryState& state = entries_[entry];
   ++checks_;
+  // An entry that does not answer has version 0.
   const uint64_t used = fleet_.VersionInForce(entry);
-  state.unanswered = used == 0 ? state.unanswered + 1 : 0;
-  if (used >= due || (used == 0 && state.unanswered < kMostUnanswered))
+  if (used >= due)
     return;
-  state.reported = due;
+  reported_[entry] = due;
   broken_.push_back(absl::StrCat(
       fleet_.nodes()[entry].name, " has version ", used, " instead of ", due,
       " at ",
--- a/standins/packet_fleet/configuration_judge.h
+++ b/standins/packet_fleet/configuration_judge.h
@@ -26,7 +26,7 @@
   /// Asks the entries for the version that they use. Call it every few
   /// milliseconds; entries are asked a few times a second.
   void Poll(absl::Time now);
-  /// As Poll(), at once and once more for entries that did not answer.
+  /// As Poll(), at once.
   void Finish();
 
   /// Number of times that an entry was asked while a version was due.
@@ -34,19 +34,14 @@
   const std::vector<std::string>& broken() const { return broken_; }
 
  private:
-  struct EntryState {
-    /// Version that the last broken promise was about.
-    uint64_t reported = 0;
-    int unanswered = 0;
-  };
-
   /// Returns the highest version whose bound has passed, or 0.
   uint64_t DueVersion(absl::Time now) const;
   void Ask(size_t entry, uint64_t due);
 
   const PacketFleet& fleet_;
   const FaultInjector& faults_;
-  std::vector<EntryState> entries_;
+  /// By node: the version that its last broken promise was about.
+  std::vector<uint64_t> reported_;
   absl::Time next_ = absl::InfinitePast();
   int checks_ = 0;
   std::vector<std::string> broken_;
