Search for flows by queries on slow links

Cause: when the routers change the entry of most flows, each packet of a flow is sent to up to 16 agents and then to all of them. A 10 Mbit/s entry sent 2.0 to 2.8 MB/s of searches. Lost packets are sent and searched again, so that the overload outlives its cause.

Change: where the settings give a link of at most 20 Mbit/s, an entry sends one query without payload per flow, holds the flow's packets, and sends them to the agent that reports the flow. Queries use a quarter of the link at most. The proof that no agent holds a flow is unchanged.

The flow simulation runs its seeds with both kinds of search.

--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -46,6 +46,8 @@
   absl::Time last_sent;
   /// Opening packets without an answer since its last message.
   uint32_t unanswered = 0;
+  /// It has answered a FlowQuery, which earlier releases ignore.
+  bool answers_queries = false;
 };
 
 /// Whether the last message of the agent is more recent than its
--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -36,7 +36,7 @@
   };
   struct ToEntry {
     Endpoint entry;
-    /// ReturnedPacket or FlowPlaced.
+    /// ReturnedPacket, FlowPlaced or QueryAnswer.
     NodeMessage message;
   };
   /// A reset of the flow, sent to its client.
@@ -88,6 +88,11 @@
                    Endpoint entry,
                    absl::Time now,
                    AgentActions& actions);
+  /// Answers an entry that searches for the agent of a flow.
+  void OnQuery(const FlowQuery& query,
+               Endpoint entry,
+               absl::Time now,
+               AgentActions& actions);
   /// Handles a packet that the target sent or returned.
   void OnTargetPacket(const PacketHeader& header,
                       absl::Span<const uint8_t> packet,
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -2,6 +2,7 @@
 #define SKYLARKSHUNT_FORWARDING_ENTRY_FORWARDER_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "skylarkshunt/forwarding/agent_directory.h"
 #include "skylarkshunt/forwarding/decision.h"
 #include "skylarkshunt/forwarding/former_services.h"
+#include "skylarkshunt/forwarding/link_share.h"
 #include "skylarkshunt/forwarding/messages.h"
 #include "skylarkshunt/forwarding/opening_copies.h"
 #include "skylarkshunt/forwarding/retry_history.h"
@@ -30,6 +32,10 @@
     Endpoint agent;
     ForwardedPacket message;
   };
+  struct QueryToAgent {
+    Endpoint agent;
+    FlowQuery message;
+  };
   /// A reset of the flow, sent to its client.
   struct ResetClient {
     FlowId flow;
@@ -37,6 +43,7 @@
   };
 
   std::vector<ToAgent> to_agents;
+  std::vector<QueryToAgent> queries;
   std::vector<ResetClient> resets;
   /// Refused requests that may be tried again through another entry of the data
   /// centre.
@@ -82,6 +89,11 @@
   /// `data_centre` is the hash of the entry's data centre as in AgentIdentity.
   EntryForwarder(uint32_t data_centre, absl::Time started);
 
+  /// Sets the rate of the entry's link. On a slow link, a search sends queries
+  /// instead of packets, and holds the packets until an agent reports the flow.
+  /// Precondition: no packet has been handled yet.
+  void SetLinkRate(uint64_t bytes_per_second);
+
   /// Puts a configuration into force; older versions are ignored. Returns
   /// whether it is in force, and what the former one was used for.
   /// Precondition: `routes` is not null.
@@ -115,11 +127,15 @@
                 Endpoint agent,
                 absl::Time now,
                 EntryActions& actions);
-  /// Sends opening packets whose agent has not answered to another agent. Call
-  /// it at next_deadline() or before.
+  void OnQueryAnswer(const QueryAnswer& answer,
+                     Endpoint agent,
+                     absl::Time now,
+                     EntryActions& actions);
+  /// Sends opening packets whose agent has not answered to another agent, and
+  /// repeats queries. Call it at next_deadline() or before.
   void Tick(absl::Time now, EntryActions& actions);
   /// Returns the time by which Tick() must be called next; the infinite future
-  /// if no packet awaits an answer. Discards answered packets.
+  /// if no packet or query awaits an answer. Discards answered packets.
   absl::Time next_deadline();
   /// Removes expired flows and searches. Call it every second.
   void ExpireIdle(absl::Time now);
@@ -152,6 +168,18 @@
     absl::flat_hash_set<InstanceUid> awaited;
     /// Agents that answered that they do not hold the flow.
     absl::flat_hash_set<InstanceUid> denied;
+    /// The other members are used by searches with queries only. Header of the
+    /// client's last packet.
+    PacketHeader header;
+    /// Packets of the flow, sent once its agent is known.
+    std::vector<std::vector<uint8_t>> held;
+    /// Rounds of queries since the search or its repetition began.
+    int rounds = 0;
+    /// Time of the next round; the infinite future if there is none.
+    absl::Time next_round = absl::InfiniteFuture();
+    /// Agents whose target got the first held packet, since only the target can
+    /// tell whether it holds the flow.
+    absl::flat_hash_set<InstanceUid> probed;
   };
 
   /// Returns the attempt of the flow of an opening packet.
@@ -192,6 +220,7 @@
                    EntryActions& actions);
   void SearchFlow(const Route& route,
                   const FlowId& flow,
+                  const PacketHeader& header,
                   absl::Span<const uint8_t> packet,
                   absl::Time now,
                   EntryActions& actions);
@@ -206,9 +235,45 @@
                   EntryActions& actions);
   /// Sends `message` to the agents in `queried_`.
   void QueryAgents(Search& search,
+                   const FlowId& flow,
                    const ForwardedPacket& message,
                    absl::Time now,
                    EntryActions& actions);
+  /// Whether targets without state for the flow must not get its packets, since
+  /// the agent that holds it may be missing.
+  bool IsHolderMissing(absl::Span<const ServiceUid> services,
+                       absl::Time now) const;
+  /// Handles a packet of an unknown flow on a slow link.
+  void SearchByQueries(const Route& route,
+                       const FlowId& flow,
+                       const PacketHeader& header,
+                       absl::Span<const uint8_t> packet,
+                       absl::Time now,
+                       EntryActions& actions);
+  /// Keeps a packet until the agent of the flow is known.
+  void HoldPacket(Search& search, absl::Span<const uint8_t> packet);
+  /// Queries the agents of the current stage of the search, or postpones that
+  /// while the share of the link is used up.
+  void StartQueryRound(Search& search,
+                       const Route& route,
+                       const FlowId& flow,
+                       absl::Time now,
+                       EntryActions& actions);
+  void ScheduleQueryRound(Search& search, const FlowId& flow, absl::Time at);
+  /// Sends the queries of a round to the agents in `queried_`.
+  void SendQueries(const Search& search,
+                   const FlowId& flow,
+                   const ForwardedPacket& message,
+                   absl::Time now,
+                   EntryActions& actions);
+  /// Starts the rounds of queries that are due.
+  void RepeatQueries(absl::Time now, EntryActions& actions);
+  /// Sends the held packets of a flow to the agent that holds it.
+  void ReleaseHeldPackets(Search& search,
+                          const FlowId& flow,
+                          const AgentIdentity& holder,
+                          Endpoint agent,
+                          EntryActions& actions);
   /// Returns the services with agents other than `services`; none if they have
   /// more than kMaxOtherAgents agents.
   std::vector<ServiceUid> OtherServices(
@@ -223,10 +288,13 @@
   bool IsDeniedBy(const Search& search,
                   ServiceUid service,
                   absl::Time now) const;
-  void RecordNotHeld(const ReturnedPacket& returned,
+  /// Records that `agent` does not hold the flow of a packet. Resets the flow
+  /// once that is true of every agent.
+  void RecordNotHeld(InstanceUid agent,
                      const Route& route,
                      const FlowId& flow,
                      const PacketHeader& header,
+                     absl::Span<const uint8_t> packet,
                      absl::Time now,
                      EntryActions& actions);
   /// Resets the flow of a packet without a route, unless another entry may have
@@ -278,6 +346,14 @@
   RetryHistory retries_;
   absl::flat_hash_map<FlowId, CachedFlow> flows_;
   absl::flat_hash_map<FlowId, Search> searches_;
+  bool searches_by_queries_ = false;
+  LinkShare query_share_{0};
+  /// Searches by the time of their next round of queries. Outdated elements
+  /// differ from Search::next_round.
+  std::multimap<absl::Time, FlowId> query_rounds_;
+  size_t held_bytes_ = 0;
+  /// Packets of the last search that ended. Actions point to their bytes.
+  std::vector<std::vector<uint8_t>> released_;
   UnansweredOpenings unanswered_;
   OpeningCopies copies_;
   absl::Duration socket_delay_;
--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -171,13 +171,38 @@
   std::vector<RefusedRequest> requests;
 };
 
+/// Asks an agent whether it holds a flow, without the packet that belongs to
+/// it. The agent answers FlowPlaced or QueryAnswer.
+struct FlowQuery {
+  FlowId flow;
+  /// Whether `acknowledged` is valid.
+  bool acknowledges = false;
+  /// Next byte that the client expects from the target.
+  uint32_t acknowledged = 0;
+};
+
+/// Answer of an agent that has no state for the flow of a FlowQuery.
+struct QueryAnswer {
+  enum class Outcome : uint8_t {
+    kNotHeld = 0,  ///< The target does not hold the flow.
+    kUnclear = 1,  ///< Only the target can tell.
+  };
+
+  AgentIdentity agent;
+  AgentLoad load;
+  FlowId flow;
+  Outcome outcome = Outcome::kUnclear;
+};
+
 /// Any message between nodes.
 using NodeMessage = std::variant<AgentReport,
                                  EntryReport,
                                  ForwardedPacket,
                                  ReturnedPacket,
                                  FlowPlaced,
-                                 RefusalReport>;
+                                 RefusalReport,
+                                 FlowQuery,
+                                 QueryAnswer>;
 
 }  // namespace skylarkshunt
 
--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -225,6 +225,7 @@
   if (restarted) {
     known->sequence = 0;
     known->unreported = 0;
+    known->answers_queries = false;
   }
   known->identity = agent;
   known->endpoint = endpoint;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -252,6 +252,39 @@
   ServeQueue(now, actions);
 }
 
+void AgentForwarder::OnQuery(const FlowQuery& query,
+                             Endpoint entry,
+                             absl::Time now,
+                             AgentActions& actions) {
+  served_.clear();
+  PacketHeader header;
+  header.acknowledges = query.acknowledges;
+  header.acknowledged = query.acknowledged;
+  const AgentFlows::Flow* flow = flows_.Find(query.flow);
+  const bool other =
+      flow != nullptr && AgentFlows::AcknowledgesOtherTarget(*flow, header);
+  if (flow != nullptr && !other) {
+    ReportPlaced(query.flow, entry, now, actions);
+    return;
+  }
+  // The flow is open at another target, as in OnEstablished().
+  queue_.Remove(query.flow);
+  absl::optional<NotHeldEvidence> evidence = NotHeldEvidence::kOtherGrant;
+  if (flow == nullptr)
+    evidence = EvidenceAgainst(query.flow, now);
+  else if (!flow->confirmed)
+    flows_.Erase(query.flow);
+  QueryAnswer answer;
+  answer.agent = options_.identity;
+  answer.load = load(now);
+  answer.flow = query.flow;
+  if (evidence.has_value()) {
+    answer.outcome = QueryAnswer::Outcome::kNotHeld;
+    ++not_held_counts_[static_cast<size_t>(*evidence)];
+  }
+  actions.to_entries.push_back({entry, answer});
+}
+
 void AgentForwarder::OnTargetPacket(const PacketHeader& header,
                                     absl::Span<const uint8_t> packet,
                                     absl::Time now,
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -36,6 +36,7 @@
 
 void EntryActions::Clear() {
   to_agents.clear();
+  queries.clear();
   resets.clear();
   refused.clear();
   decisions.clear();
@@ -91,7 +92,7 @@
   AgentView* agent =
       cached == flows_.end() ? nullptr : agents_.Find(cached->second.agent);
   if (agent == nullptr) {
-    SearchFlow(*route, flow, packet, now, actions);
+    SearchFlow(*route, flow, header, packet, now, actions);
     return;
   }
   cached->second.used = now;
@@ -214,6 +215,7 @@
   timed_out_ = unanswered_.TakeTimedOut(now);
   for (const UnansweredOpenings::Opening& timed_out : timed_out_)
     PlaceElsewhere(timed_out, now, actions);
+  RepeatQueries(now, actions);
 }
 
 void EntryForwarder::PlaceElsewhere(
@@ -243,7 +245,10 @@
 }
 
 absl::Time EntryForwarder::next_deadline() {
-  return unanswered_.next_deadline();
+  const absl::Time query_round = query_rounds_.empty()
+                                     ? absl::InfiniteFuture()
+                                     : query_rounds_.begin()->first;
+  return std::min(unanswered_.next_deadline(), query_round);
 }
 
 /// Sends an opening packet that all accepting agents have declined to the least
@@ -292,13 +297,14 @@
   }
   if (!header.opening) {
     if (returned.mode == ForwardMode::kSearch) {
-      RecordNotHeld(returned, *route, flow, header, now, actions);
+      RecordNotHeld(returned.agent.uid, *route, flow, header, returned.packet,
+                    now, actions);
       return;
     }
     const auto cached = flows_.find(flow);
     if (cached != flows_.end() && cached->second.agent == returned.agent.uid)
       flows_.erase(cached);
-    SearchFlow(*route, flow, returned.packet, now, actions);
+    SearchFlow(*route, flow, header, returned.packet, now, actions);
     return;
   }
   if (returned.reason == ReturnReason::kTargetUnresponsive)
@@ -352,7 +358,13 @@
     decision.evidence = OtherHolderEvidence{known->second.agent};
     actions.decisions.push_back(decision);
   }
-  const bool searched = searches_.erase(placed.flow) > 0;
+  const auto search = searches_.find(placed.flow);
+  const bool searched = search != searches_.end();
+  if (searched) {
+    ReleaseHeldPackets(search->second, placed.flow, placed.agent, agent,
+                       actions);
+    searches_.erase(search);
+  }
   CachedFlow* cached = CacheFlow(placed.flow, placed.agent.uid, now);
   if (cached != nullptr)
     cached->established = established || searched;
@@ -482,8 +494,12 @@
   copies_.Expire(now);
   former_services_.Expire(now);
   const size_t searches = searches_.size();
-  absl::erase_if(searches_, [now](const auto& search) {
-    return now - search.second.started > kSearchLifetime;
+  absl::erase_if(searches_, [this, now](const auto& search) {
+    if (now - search.second.started <= kSearchLifetime)
+      return false;
+    for (const std::vector<uint8_t>& packet : search.second.held)
+      held_bytes_ -= packet.size();
+    return true;
   });
   search_counts_.not_proven += searches - searches_.size();
 }
--- a/lib/forwarding/entry_search.cc
+++ b/lib/forwarding/entry_search.cc
@@ -27,9 +27,14 @@
 
 void EntryForwarder::SearchFlow(const Route& route,
                                 const FlowId& flow,
+                                const PacketHeader& header,
                                 absl::Span<const uint8_t> packet,
                                 absl::Time now,
                                 EntryActions& actions) {
+  if (searches_by_queries_) {
+    SearchByQueries(route, flow, header, packet, now, actions);
+    return;
+  }
   const auto found = searches_.find(flow);
   if (found != searches_.end()) {
     // The queried agents do not hold the flow, or one of them is unresponsive.
@@ -81,15 +86,9 @@
   message.mode = ForwardMode::kSearch;
   message.kind = route.kind;
   message.packet = packet;
-  // While the agent that holds the flow may be missing, asking the others'
-  // targets would give the packet to foreign targets only.
   const std::vector<ServiceUid> services =
       former_services_.Find(flow.service, route, now);
-  message.known_only = std::any_of(services.begin(), services.end(),
-                                   [this, now](ServiceUid service) {
-                                     return !agents_.IsComplete(service, now) ||
-                                            agents_.IsAnyLeaving(service);
-                                   });
+  message.known_only = IsHolderMissing(services, now);
   for (const ServiceUid service : services) {
     const absl::Span<AgentView* const> agents =
         agents_.AgentsOfService(service);
@@ -101,7 +100,7 @@
       queried_.assign(agents.begin(), agents.end());
     }
     message.service = service;
-    QueryAgents(search, message, now, actions);
+    QueryAgents(search, flow, message, now, actions);
   }
   if (search.stage != SearchStage::kOtherServices)
     return;
@@ -113,10 +112,19 @@
         agents_.AgentsOfService(service);
     queried_.assign(agents.begin(), agents.end());
     message.service = service;
-    QueryAgents(search, message, now, actions);
+    QueryAgents(search, flow, message, now, actions);
   }
 }
 
+bool EntryForwarder::IsHolderMissing(absl::Span<const ServiceUid> services,
+                                     absl::Time now) const {
+  return std::any_of(services.begin(), services.end(),
+                     [this, now](ServiceUid service) {
+                       return !agents_.IsComplete(service, now) ||
+                              agents_.IsAnyLeaving(service);
+                     });
+}
+
 std::vector<ServiceUid> EntryForwarder::OtherServices(
     absl::Span<const ServiceUid> services) const {
   std::vector<ServiceUid> others;
@@ -133,13 +141,19 @@
 }
 
 void EntryForwarder::QueryAgents(Search& search,
+                                 const FlowId& flow,
                                  const ForwardedPacket& message,
                                  absl::Time now,
                                  EntryActions& actions) {
+  // A target may have started beside an agent since its last message, so agents
+  // without target are queried too.
+  if (searches_by_queries_) {
+    SendQueries(search, flow, message, now, actions);
+  } else {
+    for (const AgentView* agent : queried_)
+      actions.to_agents.push_back({agent->endpoint, message});
+  }
   for (const AgentView* agent : queried_) {
-    // A target may have started beside an agent since its last message, so
-    // agents without target are queried too.
-    actions.to_agents.push_back({agent->endpoint, message});
     // The search does not wait for an unresponsive candidate before it queries
     // all agents, nor for an agent that ended without target.
     const bool may_hold = search.stage != SearchStage::kCandidates &&
@@ -150,23 +164,24 @@
   }
 }
 
-void EntryForwarder::RecordNotHeld(const ReturnedPacket& returned,
+void EntryForwarder::RecordNotHeld(InstanceUid agent,
                                    const Route& route,
                                    const FlowId& flow,
                                    const PacketHeader& header,
+                                   absl::Span<const uint8_t> packet,
                                    absl::Time now,
                                    EntryActions& actions) {
   const auto found = searches_.find(flow);
   if (found == searches_.end())
     return;
   Search& search = found->second;
-  search.denied.insert(returned.agent.uid);
-  const bool awaited = search.awaited.erase(returned.agent.uid) > 0;
+  search.denied.insert(agent);
+  const bool awaited = search.awaited.erase(agent) > 0;
   if (!awaited || !search.awaited.empty())
     return;
   while (WidenSearch(search, now)) {
     const size_t queried = search.queried.size();
-    SendSearch(search, route, flow, returned.packet, now, actions);
+    SendSearch(search, route, flow, packet, now, actions);
     if (search.queried.size() > queried)
       return;
   }
@@ -175,6 +190,8 @@
   if (!IsHeldNowhere(search, services, now))
     return;
   const SearchEvidence evidence = EvidenceOfSearch(search, services, now);
+  for (const std::vector<uint8_t>& held : search.held)
+    held_bytes_ -= held.size();
   searches_.erase(found);
   ++search_counts_.held_nowhere;
   if (header.reset)
--- a/lib/forwarding/node_codec.cc
+++ b/lib/forwarding/node_codec.cc
@@ -18,8 +18,14 @@
   kFlowPlaced = 5,
   /// Nodes of releases before this type count it as malformed.
   kRefusalReport = 6,
+  /// Releases that do not know these types count them as malformed.
+  kFlowQuery = 7,
+  kQueryAnswer = 8,
 };
 
+/// FlowQuery::acknowledges.
+constexpr uint8_t kAcknowledges = 1;
+
 /// ForwardedPacket::known_only in the byte of the priority. Earlier releases
 /// ignore the priority of a search.
 constexpr uint8_t kKnownOnly = kMaxPriority + 1;
@@ -69,6 +75,18 @@
   return load;
 }
 
+void Write(ByteWriter& writer, const FlowId& flow) {
+  writer.Address(flow.client);
+  writer.Address(flow.service);
+}
+
+FlowId ReadFlow(ByteReader& reader) {
+  FlowId flow;
+  flow.client = reader.Address();
+  flow.service = reader.Address();
+  return flow;
+}
+
 template <typename List>
 void WriteDeclined(ByteWriter& writer, const List& declined) {
   const size_t count = std::min(declined.size(), kMaxDeclines);
@@ -142,8 +160,7 @@
     ByteWriter writer = Begin(out, Type::kFlowPlaced);
     Write(writer, placed.agent);
     Write(writer, placed.load);
-    writer.Address(placed.flow.client);
-    writer.Address(placed.flow.service);
+    Write(writer, placed.flow);
   }
   void operator()(const RefusalReport& report) const {
     ByteWriter writer = Begin(out, Type::kRefusalReport);
@@ -159,6 +176,19 @@
       writer.Number(request.refused);
     }
   }
+  void operator()(const FlowQuery& query) const {
+    ByteWriter writer = Begin(out, Type::kFlowQuery);
+    Write(writer, query.flow);
+    writer.Number(query.acknowledges ? kAcknowledges : uint8_t{0});
+    writer.Number(query.acknowledged);
+  }
+  void operator()(const QueryAnswer& answer) const {
+    ByteWriter writer = Begin(out, Type::kQueryAnswer);
+    Write(writer, answer.agent);
+    Write(writer, answer.load);
+    Write(writer, answer.flow);
+    writer.Choice(answer.outcome);
+  }
 };
 
 AgentReport ReadAgentReport(ByteReader& reader) {
@@ -225,11 +255,27 @@
   FlowPlaced placed;
   placed.agent = ReadIdentity(reader);
   placed.load = ReadLoad(reader);
-  placed.flow.client = reader.Address();
-  placed.flow.service = reader.Address();
+  placed.flow = ReadFlow(reader);
   return placed;
 }
 
+FlowQuery ReadFlowQuery(ByteReader& reader) {
+  FlowQuery query;
+  query.flow = ReadFlow(reader);
+  query.acknowledges = (reader.Number<uint8_t>() & kAcknowledges) != 0;
+  query.acknowledged = reader.Number<uint32_t>();
+  return query;
+}
+
+QueryAnswer ReadQueryAnswer(ByteReader& reader) {
+  QueryAnswer answer;
+  answer.agent = ReadIdentity(reader);
+  answer.load = ReadLoad(reader);
+  answer.flow = ReadFlow(reader);
+  answer.outcome = reader.Choice(QueryAnswer::Outcome::kUnclear);
+  return answer;
+}
+
 RefusalReport ReadRefusalReport(ByteReader& reader) {
   RefusalReport report;
   report.data_centre = reader.Number<uint32_t>();
@@ -313,6 +359,12 @@
     case Type::kRefusalReport:
       message = ReadRefusalReport(reader);
       break;
+    case Type::kFlowQuery:
+      message = ReadFlowQuery(reader);
+      break;
+    case Type::kQueryAnswer:
+      message = ReadQueryAnswer(reader);
+      break;
     default:
       return Malformed("node message has an unknown type");
   }
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -164,7 +164,12 @@
                                   loop.actions_);
       loop.Execute(now);
     }
+    void operator()(const FlowQuery& query) const {
+      loop.forwarder_.OnQuery(query, source, now, loop.actions_);
+      loop.Execute(now);
+    }
     // Sent to entries only.
+    void operator()(const QueryAnswer&) const {}
     void operator()(const AgentReport&) const {}
     void operator()(const ReturnedPacket&) const {}
     void operator()(const FlowPlaced&) const {}
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -60,6 +60,7 @@
                EntryReportInterval(0),
                options.node.seeds,
                started_) {
+    forwarder_.SetLinkRate(options.node.link_bytes_per_second);
     self_.uid = MakeEntryUid(options.node.data.ToString());
     self_.incarnation = options.incarnation;
   }
@@ -140,6 +141,11 @@
       loop.forwarder_.OnPlaced(placed, source, now, loop.actions_);
       loop.Execute(now);
     }
+    void operator()(const FlowQuery&) const {}
+    void operator()(const QueryAnswer& answer) const {
+      loop.forwarder_.OnQueryAnswer(answer, source, now, loop.actions_);
+      loop.Execute(now);
+    }
     void operator()(const RefusalReport& report) const {
       // A forged report would make requests of a client count as older.
       if (!loop.nodes_.IsPresentEntry(source.address, now)) {
@@ -180,6 +186,8 @@
   void Execute(absl::Time now) {
     for (const EntryActions::ToAgent& action : actions_.to_agents)
       channel_.Send(action.agent, action.message);
+    for (const EntryActions::QueryToAgent& query : actions_.queries)
+      channel_.Send(query.agent, query.message);
     for (const EntryActions::ResetClient& reset : actions_.resets) {
       packets_.Send({reset.flow.client.address, options_.node.client_port},
                     options_.packets->MakeReset(reset.flow, reset.sequence));
--- a/standins/flow_simulation/simulated_agent.cc
+++ b/standins/flow_simulation/simulated_agent.cc
@@ -54,6 +54,11 @@
                                   {source, kPeerPort}, now, agent.actions_);
     agent.Execute();
   }
+  void operator()(const FlowQuery& query) const {
+    agent.forwarder_->OnQuery(query, {source, kPeerPort}, now, agent.actions_);
+    agent.Execute();
+  }
+  void operator()(const QueryAnswer&) const {}
   void operator()(const AgentReport&) const {}
   void operator()(const ReturnedPacket&) const {}
   void operator()(const FlowPlaced&) const {}
--- a/standins/flow_simulation/simulated_entry.cc
+++ b/standins/flow_simulation/simulated_entry.cc
@@ -60,6 +60,11 @@
     entry.forwarder_->OnPlaced(placed, endpoint(), now, entry.actions_);
     entry.Execute();
   }
+  void operator()(const FlowQuery&) const {}
+  void operator()(const QueryAnswer& answer) const {
+    entry.forwarder_->OnQueryAnswer(answer, endpoint(), now, entry.actions_);
+    entry.Execute();
+  }
   void operator()(const RefusalReport& report) const {
     if (!entry.nodes_->IsPresentEntry(source, now))
       return;
@@ -86,6 +91,7 @@
 void SimulatedEntry::OnStart() {
   forwarder_ =
       std::make_unique<EntryForwarder>(DataCentreHash(data_centre_), started_);
+  forwarder_->SetLinkRate(context_.options.link_bytes_per_second);
   peers_ = std::make_unique<EntryPeers>(DataCentreHash(data_centre_));
   nodes_ = std::make_unique<NodeDirectory>(
       Role::kEntry, address_, EntryReportInterval(0), seeds_, started_);
@@ -248,6 +254,8 @@
   for (const EntryActions::ToAgent& action : actions_.to_agents)
     context_.network.SendMessage(address_, action.agent.address,
                                  action.message);
+  for (const EntryActions::QueryToAgent& query : actions_.queries)
+    context_.network.SendMessage(address_, query.agent.address, query.message);
   for (const EntryActions::ResetClient& reset : actions_.resets) {
     SentReset sent{
         reset.flow, reset.sequence, actor_, {}, HolderOf(reset.flow)};
--- a/standins/flow_simulation/simulation_options.h
+++ b/standins/flow_simulation/simulation_options.h
@@ -50,6 +50,9 @@
   /// Whether the store answers after the first start of the nodes. Otherwise
   /// nodes learn of each other from seeds and reports only.
   bool store = true;
+  /// Rate of the entries' links, in bytes per second; 0 if unknown. The network
+  /// does not limit it, but entries search differently on slow links.
+  uint64_t link_bytes_per_second = 0;
   FaultKinds faults;
 };
 
--- a/unittests/flow_simulation/flow_simulation_test.cc
+++ b/unittests/flow_simulation/flow_simulation_test.cc
@@ -17,18 +17,29 @@
 class FlowSimulationTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FlowSimulationTest);
   CPPUNIT_TEST(OpenFlowsAreNeitherResetNorMisdirected);
+  CPPUNIT_TEST(OpenFlowsAreFoundThroughSlowLinks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   // Guards against resets of open flows when the retransmissions of an opening
   // packet pass through different entries, and against packets that never reach
   // the target of their flow.
-  void OpenFlowsAreNeitherResetNorMisdirected() {
+  void OpenFlowsAreNeitherResetNorMisdirected() { Judge(SimulationOptions()); }
+
+  // The same where entries search by queries. Guards against a proof from
+  // answers to queries that is weaker than one from packets.
+  void OpenFlowsAreFoundThroughSlowLinks() {
+    SimulationOptions options;
+    options.link_bytes_per_second = 1'250'000;
+    Judge(options);
+  }
+
+ private:
+  static void Judge(SimulationOptions options) {
     std::string first;
     size_t broken = 0;
     size_t served = 0;
     for (const uint32_t seed : kSeeds) {
-      SimulationOptions options;
       options.seed = seed;
       options.duration = kDuration;
       FlowSimulation simulation(options);
