Count the bytes of a node's link by purpose

Nothing showed what fills the link of a small entry; the searches were found with a patched build. skylarkshunt_link_bytes_total counts sent and received datagrams by purpose.

--- a/lib/node/node_channel.cc
+++ b/lib/node/node_channel.cc
@@ -14,16 +14,25 @@
       malformed_(counters.Find("skylarkshunt_node_messages_malformed_total",
                                "Messages of other nodes that were refused.")),
       unsent_(counters.Find("skylarkshunt_datagrams_unsent_total",
-                            "Datagrams that the kernel did not take.")) {}
+                            "Datagrams that the kernel did not take.")),
+      usage_(counters) {}
 
 void NodeChannel::Send(Endpoint destination, const NodeMessage& message) {
   EncodeNodeMessage(message, buffer_);
-  SendRaw(destination, buffer_);
+  SendDatagram(destination, buffer_, PurposeOf(message));
 }
 
 void NodeChannel::SendRaw(Endpoint destination,
                           absl::Span<const uint8_t> bytes) {
-  if (!socket_.Send(destination, bytes))
+  SendDatagram(destination, bytes, LinkPurpose::kClientPacket);
+}
+
+void NodeChannel::SendDatagram(Endpoint destination,
+                               absl::Span<const uint8_t> bytes,
+                               LinkPurpose purpose) {
+  if (socket_.Send(destination, bytes))
+    usage_.RecordSent(purpose, bytes.size());
+  else
     unsent_.Increment();
 }
 
@@ -34,10 +43,12 @@
     if (!datagram.has_value())
       return;
     const Result<NodeMessage> message = DecodeNodeMessage(datagram->bytes);
-    if (message.has_value())
-      handle(datagram->source, message.value());
-    else
+    if (!message.has_value()) {
       malformed_.Increment();
+      continue;
+    }
+    usage_.RecordReceived(PurposeOf(message.value()), datagram->bytes.size());
+    handle(datagram->source, message.value());
   }
 }
 
--- a/lib/node/node_channel.h
+++ b/lib/node/node_channel.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "link_usage.h"
 #include "skylarkshunt/base/counters.h"
 #include "skylarkshunt/forwarding/messages.h"
 #include "skylarkshunt/net/udp_socket.h"
@@ -41,12 +42,20 @@
 
   int fd() const { return socket_.fd(); }
 
+  /// Counts the datagrams of the node's link, also those of other sockets.
+  LinkUsage& usage() { return usage_; }
+
  private:
+  void SendDatagram(Endpoint destination,
+                    absl::Span<const uint8_t> bytes,
+                    LinkPurpose purpose);
+
   UdpSocket socket_;
   const uint16_t port_;
   std::vector<uint8_t> buffer_;
   Counter& malformed_;
   Counter& unsent_;
+  LinkUsage usage_;
 };
 
 }  // namespace skylarkshunt
--- a/lib/node/node_loop.cc
+++ b/lib/node/node_loop.cc
@@ -105,6 +105,8 @@
     if (!header.has_value())
       continue;
     received_.Increment();
+    channel_.usage().RecordReceived(LinkPurpose::kClientPacket,
+                                    datagram->bytes.size());
     handle(*header, datagram->bytes);
   }
 }
