Read configurations whose routes are partly unknown

Cause: one route of a kind that a release does not know, such as 'upload', or one route without an address rejected the whole configuration, so that changes of all other routes did not come into force.

RouteTable::ignored has the number of these and the first one. The follower logs them once for each revision (SKS5169) and counts them.

--- a/include/skylarkshunt/forwarding/route_table.h
+++ b/include/skylarkshunt/forwarding/route_table.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKSHUNT_FORWARDING_ROUTE_TABLE_H_
 #define SKYLARKSHUNT_FORWARDING_ROUTE_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -53,6 +54,17 @@
   uint32_t max_connections = 0;
 };
 
+/// Longest text about a value that could not be read.
+inline constexpr size_t kMaxIgnoredTextBytes = 200;
+
+/// Routes, services and values of a configuration that could not be read.
+struct IgnoredValues {
+  size_t count = 0;
+  /// Where the first one is and what is wrong with it; at most
+  /// kMaxIgnoredTextBytes.
+  std::string first;
+};
+
 /// One version of the configuration, immutable once it is in force.
 struct RouteTable {
   /// Version set by the operator.
@@ -61,6 +73,9 @@
   absl::flat_hash_map<ServiceUid, ServiceSettings> services;
   /// A flow without packets for this long may be removed.
   absl::Duration idle_timeout = absl::Seconds(60);
+  /// Set on the node that read the deployment's own format. It is not sent to
+  /// other nodes.
+  IgnoredValues ignored;
 
   /// Returns the route to `address`, or null. Thread-safe.
   const Route* Find(Endpoint address) const;
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -41,6 +41,7 @@
 constexpr EventId kWatchAnswered{5161, "store_watch_answered"};
 constexpr EventId kRevisionOffered{5162, "configuration_offered"};
 constexpr EventId kCallSlow{5163, "store_call_slow"};
+constexpr EventId kValuesIgnored{5169, "configuration_values_ignored"};
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
@@ -132,6 +133,10 @@
         objects_ignored_(options.counters->Find(
             "skylarkshunt_store_objects_ignored_total",
             "Objects in answers of the store that could not be read.")),
+        values_ignored_(options.counters->Find(
+            "skylarkshunt_configuration_values_ignored_total",
+            "Routes, services and values of configurations of the store that "
+            "could not be read.")),
         answer_time_(*options.counters,
                      "skylarkshunt_store_answer",
                      "Time to an answer of the object store, without the wait "
@@ -264,6 +269,13 @@
         .Field("routes", routes->routes.size())
         .Field("source", source)
         .Field("took_ms", absl::ToInt64Milliseconds(MonotonicNow() - learned));
+    if (routes->ignored.count > 0) {
+      values_ignored_.Add(routes->ignored.count);
+      LogLine(kValuesIgnored, Severity::kWarning)
+          .Field("revision", ToNumber(revision))
+          .Field("count", routes->ignored.count)
+          .Field("first", routes->ignored.first);
+    }
     return true;
   }
 
@@ -673,6 +685,7 @@
   Counter& parts_received_;
   Counter& lost_watches_;
   Counter& objects_ignored_;
+  Counter& values_ignored_;
   LatencyMetric answer_time_;
   BoundedRing<RevisionNotice> notices_;
   // The next three are used by peer_thread_ only.
--- a/unittests/node/configuration_follower_test.cc
+++ b/unittests/node/configuration_follower_test.cc
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(NodeRejectedByStoreFetchesFromPeer);
   CPPUNIT_TEST(ExpiredHistoryCausesNewList);
   CPPUNIT_TEST(MalformedConfigurationLeavesPreviousOneInForce);
+  CPPUNIT_TEST(UnreadableRoutesAreCountedOncePerRevision);
   CPPUNIT_TEST(InvalidNodeObjectsAreIgnored);
   CPPUNIT_TEST(OddObjectsOfAnotherWriterLeaveTheOthersInUse);
   CPPUNIT_TEST(OddConfigurationLeavesTheLastOneInForce);
@@ -131,6 +132,22 @@
     CPPUNIT_ASSERT(std::is_sorted(versions.begin(), versions.end()));
   }
 
+  // Guards against a configuration with an unreadable route that is rejected as
+  // a whole, and against a route that is left out without a report.
+  void UnreadableRoutesAreCountedOncePerRevision() {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    // The data thread refuses it once, so that it is read twice.
+    received_.RefuseNext();
+    Write(R"({"version":2,"routes":[{},7,{"host":"198.18.0.1",)"
+          R"("path-prefix":"/80/","kind":"upload","service":"x"}]})");
+    CPPUNIT_ASSERT(received_.Await(2));
+    Write(3);
+    CPPUNIT_ASSERT(received_.Await(3));
+    CPPUNIT_ASSERT(absl::StrContains(counters_.ToText(),
+                                     "configuration_values_ignored_total 2\n"));
+  }
+
   // Guards against an entry that waits for the answer of an unresponsive store
   // long after the store has recovered. The usual timeout of a call is 1.5 s.
   void UnresponsiveStoreIsQueriedAgainWithinItsTimeout() {
