Refuse opening packets that an entry without a configuration cannot place

Cause: an entry without a configuration dropped every packet, so that its clients learned only after 1.4 s that their attempt had failed, also when the store had been away for long and this was known from the first packet on.

Change: 2 s after its start (kSettleTime) such an entry refuses an opening packet at once, and during the start the last retransmission, as without agents. It refuses only if no copy may have reached another entry. Other packets are dropped as before.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -297,6 +297,14 @@
                      absl::Span<const uint8_t> packet,
                      absl::Time now,
                      EntryActions& actions);
+  /// Whether the entry has just started and the client sends a retransmission
+  /// of its opening packet, so that the packet need not be refused yet.
+  bool MaySucceedLater(const PacketHeader& header, absl::Time now) const;
+  /// Refuses an opening packet that cannot be placed before the client ends its
+  /// attempt, since there is no configuration. Drops all other packets.
+  void RefuseWithoutConfiguration(const PacketHeader& header,
+                                  absl::Time now,
+                                  EntryActions& actions);
   /// Resets the flow of a packet without a route, unless another entry may have
   /// opened it.
   void RefuseWithoutRoute(const PacketHeader& header,
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -16,8 +16,8 @@
 /// Minimum time for which a flow is cached after its last packet, even if the
 /// configuration sets a shorter one.
 constexpr absl::Duration kMinIdleTime = absl::Seconds(2);
-/// Time after its start in which an entry without agents of a service defers
-/// opening packets.
+/// Time after its start in which an entry without a configuration, or without
+/// agents of a service, defers opening packets.
 constexpr absl::Duration kSettleTime = absl::Seconds(2);
 /// Maximum number of recorded addresses whose route a configuration dropped.
 /// Packets of the flows of further ones are dropped instead of reset.
@@ -76,7 +76,7 @@
   if (header.opening && !header.acknowledges)
     copies_.Record(header, now - socket_delay_, now);
   if (routes_ == nullptr) {
-    RecordDeferred(flow, "no_configuration", now, actions);
+    RefuseWithoutConfiguration(header, now, actions);
     return;
   }
   const Route* route = routes_->Find(header.destination);
@@ -141,8 +141,7 @@
     copies_.RecordUnanswered(flow, cached->second.agent);
   }
   if (agents_.AgentsOfService(message.service).empty() &&
-      now - started_ < kSettleTime &&
-      header.opening_time_left > kLastRetransmissionTimeLeft) {
+      MaySucceedLater(header, now)) {
     RecordDeferred(flow, "no_agent_yet", now, actions);
     return;
   }
@@ -378,6 +377,29 @@
   }
 }
 
+bool EntryForwarder::MaySucceedLater(const PacketHeader& header,
+                                     absl::Time now) const {
+  return now - started_ < kSettleTime &&
+         header.opening_time_left > kLastRetransmissionTimeLeft;
+}
+
+void EntryForwarder::RefuseWithoutConfiguration(const PacketHeader& header,
+                                                absl::Time now,
+                                                EntryActions& actions) {
+  const FlowId flow = header.flow_from_client();
+  // Another entry may have opened the flow of any other packet.
+  if (!header.opening || MaySucceedLater(header, now)) {
+    RecordDeferred(flow, "no_configuration", now, actions);
+    return;
+  }
+  if (DeferRefusal(flow, now, actions))
+    return;
+  const Attempt attempt = AttemptOf(flow, header, now);
+  Refuse(flow, 0, "no_configuration", now, actions);
+  actions.decisions.back().attempt = attempt.number();
+  RecordRefused(flow, attempt, now, actions);
+}
+
 void EntryForwarder::RefuseWithoutRoute(const PacketHeader& header,
                                         absl::Time now,
                                         EntryActions& actions) {
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -62,6 +62,9 @@
   CPPUNIT_TEST(RemovedRouteIsRefused);
   CPPUNIT_TEST(OlderConfigurationIsIgnored);
   CPPUNIT_TEST(WithoutConfigurationPacketsAreDropped);
+  CPPUNIT_TEST(WithoutConfigurationOpeningsAreRefusedAfterTheStart);
+  CPPUNIT_TEST(WithoutConfigurationOnlyTheLastCopyIsRefusedDuringTheStart);
+  CPPUNIT_TEST(WithoutConfigurationNoOpenFlowIsRefused);
   CPPUNIT_TEST(RetransmissionAvoidsAnUnresponsiveAgent);
   CPPUNIT_TEST(UnansweredOpeningGoesElsewhereBeforeItsRetransmission);
   CPPUNIT_TEST(UnresponsiveAgentGetsNoFlow);
@@ -218,6 +221,62 @@
     CPPUNIT_ASSERT(actions_.to_agents.empty());
   }
 
+  // The store is away and an entry has no configuration. Guards against clients
+  // that wait for the end of an attempt that cannot succeed.
+  void WithoutConfigurationOpeningsAreRefusedAfterTheStart() {
+    EntryForwarder entry(kLocalDataCentre, kStart);
+    const absl::Time late = kStart + absl::Seconds(2);
+    entry.OnClientPacket(FlowPackets().Opening(), kPacketBytes, late, actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
+    CPPUNIT_ASSERT(actions_.resets[0].flow == FlowPackets().flow());
+    CPPUNIT_ASSERT(actions_.decisions.at(0).kind == DecisionKind::kRefused);
+    CPPUNIT_ASSERT_EQUAL(std::string("no_configuration"),
+                         std::string(actions_.decisions[0].reason));
+    // The client's next attempt may reach another entry.
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.refused.size());
+    CPPUNIT_ASSERT(actions_.to_agents.empty());
+  }
+
+  // Guards against clients that wait until the end of their attempt during the
+  // start, and against a refusal while a retransmission could still be placed.
+  void WithoutConfigurationOnlyTheLastCopyIsRefusedDuringTheStart() {
+    EntryForwarder entry(kLocalDataCentre, kStart);
+    const FlowPackets flow;
+    for (int copy = 0; copy < 3; ++copy) {
+      CPPUNIT_ASSERT(actions_.resets.empty());
+      const PacketHeader header = flow.Opening(copy);
+      entry.OnClientPacket(header, kPacketBytes, kStart + header.opening_age,
+                           actions_);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
+    CPPUNIT_ASSERT(actions_.decisions.at(0).kind == DecisionKind::kDeferred);
+  }
+
+  // Guards against an untrue refusal: an entry with a configuration may have
+  // opened the flow of an earlier copy, or of an established packet.
+  void WithoutConfigurationNoOpenFlowIsRefused() {
+    EntryForwarder entry(kLocalDataCentre, kStart);
+    absl::Time now = kStart + absl::Minutes(5);
+    entry.OnClientPacket(FlowPackets(2000).Opening(1), kPacketBytes, now,
+                         actions_);
+    // The client has sent its second copy before the first one is handled.
+    entry.set_socket_delay(absl::Milliseconds(300));
+    entry.OnClientPacket(FlowPackets(2001).Opening(), kPacketBytes, now,
+                         actions_);
+    entry.set_socket_delay(absl::ZeroDuration());
+    PacketHeader ending = FlowPackets(2002).Request();
+    ending.ending = true;
+    PacketHeader reset = FlowPackets(2002).Request();
+    reset.reset = true;
+    for (const PacketHeader& header :
+         {FlowPackets(2002).Request(), ending, reset}) {
+      entry.OnClientPacket(header, kPacketBytes, now, actions_);
+    }
+    CPPUNIT_ASSERT(actions_.resets.empty());
+    CPPUNIT_ASSERT(actions_.refused.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, actions_.decisions.size());
+  }
+
   // Guards against a client that gives up because its first agent died.
   void RetransmissionAvoidsAnUnresponsiveAgent() {
     const FlowPackets flow;
