Limit the opening packets of cold targets

Cause: a target that has just started handles only a part of its usual load, and entries placed flows there as at any other. When a data centre returned, each of its targets got several times what it could take.

Change: the configuration's warmup-s and warmup-per-s and the settings' bounds.warmup-excess and bounds.warmup-slack set a limit, which the agent keeps (WarmupLimit). It delivers at the usual rate and never exceeds the hard limit in a window of a second, also together with its process before a restart. Further packets wait in its queue or are returned as at a busy target. The reported load shows the lower capacity. A target that has not reported since a possible restart counts as cold. Nodes send each other the warm-up as an additional service, which nodes of the previous release read and ignore. Without a rate or bounds nothing changes.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -15,7 +15,9 @@
 #include "skylarkshunt/forwarding/decision.h"
 #include "skylarkshunt/forwarding/messages.h"
 #include "skylarkshunt/forwarding/opening_queue.h"
+#include "skylarkshunt/forwarding/route_table.h"
 #include "skylarkshunt/forwarding/target_state.h"
+#include "skylarkshunt/forwarding/warmup_limit.h"
 #include "skylarkshunt/packets/packet.h"
 
 namespace skylarkshunt {
@@ -66,6 +68,13 @@
 };
 inline constexpr size_t kNotHeldEvidences = 4;
 
+/// Opening packets to a target that was warming up, since the agent's start.
+struct WarmupCounts {
+  uint64_t delivered = 0;
+  /// Those that the limit made wait when they arrived.
+  uint64_t delayed = 0;
+};
+
 /// Decides how an agent handles the packets to and from its target, and derives
 /// the target's load from them. Pure: the inputs are packets, messages, reports
 /// and the time, the outputs are actions. Not thread-safe.
@@ -77,10 +86,17 @@
     std::string service;
     /// Time between two reports of the target.
     absl::Duration report_interval = absl::Seconds(1);
+    /// Limit of opening packets to a cold target, as in WarmupLimit.
+    double warmup_excess = 0;
+    double warmup_slack = 0;
   };
 
   AgentForwarder(Options options, absl::Time now);
 
+  /// Sets what the configuration in force says about the target's service; null
+  /// if it says nothing.
+  void SetServiceSettings(const ServiceSettings* settings);
+
   /// Handles a packet that an entry forwarded. `header` is the header of the
   /// client's packet inside. Appends to `actions`.
   void OnForwarded(const ForwardedPacket& forwarded,
@@ -122,6 +138,10 @@
   bool is_target_gone(absl::Time now) const;
 
   AgentLoad load(absl::Time now) const;
+  /// Whether the target may be cold, so that its opening packets are limited.
+  bool is_warming_up(absl::Time now) const;
+  const WarmupLimit& warmup_limit() const { return warmup_limit_; }
+  const WarmupCounts& warmup_counts() const { return warmup_counts_; }
   /// State of the queue of opening packets, for operators.
   AdmissionState admission() const;
   const TargetState& target() const { return target_; }
@@ -175,6 +195,8 @@
                      AgentActions& actions);
   /// What the queue expects of the target's slots.
   SlotForecast Forecast(absl::Time now) const;
+  /// Whether the limit of a cold target leaves no opening packet for now.
+  bool IsWarmupLimitReached(absl::Time now) const;
   void OnEstablished(const ForwardedPacket& forwarded,
                      const PacketHeader& header,
                      Endpoint entry,
@@ -246,6 +268,11 @@
   /// Timed-out packets that Tick() returned. Actions point to their bytes.
   std::vector<Unanswered> timed_out_;
   OverloadTimer overload_;
+  WarmupLimit warmup_limit_;
+  /// Time for which a target of the service is cold. Without a configuration a
+  /// target may be cold until it reports the opposite.
+  absl::Duration warmup_ = absl::InfiniteDuration();
+  WarmupCounts warmup_counts_;
   std::array<uint64_t, kNotHeldEvidences> not_held_counts_{};
   bool leaving_ = false;
   absl::Time next_sweep_;
--- a/include/skylarkshunt/forwarding/route_table.h
+++ b/include/skylarkshunt/forwarding/route_table.h
@@ -52,6 +52,11 @@
   /// Path of the target's own health check.
   std::string health_path;
   uint32_t max_connections = 0;
+  /// Time after its start for which a target is cold.
+  absl::Duration warmup;
+  /// Requests per second that a cold target can handle; 0 if that is not
+  /// limited.
+  double warmup_per_second = 0;
 };
 
 /// Longest text about a value that could not be read.
--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -6,6 +6,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "skylarkshunt/forwarding/target_report.h"
 #include "skylarkshunt/membership/instance_record.h"
 
@@ -58,6 +59,14 @@
   /// Whether a report or a health check has shown that the target runs.
   bool is_known() const { return known_; }
   uint32_t slots() const { return slots_; }
+  /// Records that the target may have restarted. Its reports before `now` no
+  /// longer show whether it is cold.
+  void OnPossibleRestart(absl::Time now);
+  /// Returns when the target's warm-up ends; the infinite past if the target
+  /// reported that it is warm. Without a report the target may have started at
+  /// its last possible restart, which the start of the agent is too. `warmup`
+  /// is the time for which a target is cold.
+  absl::Time warm_at(absl::Duration warmup) const;
   const std::string& id() const { return id_; }
   /// Earliest possible start of the incarnation that the last report made known
   /// as a restart. Packets that the target sent before belong to an earlier
@@ -111,6 +120,9 @@
   /// Whether the target's address has refused a connection.
   bool seen_absent_ = false;
   EarlierReport earlier_;
+  /// End of the warm-up by the last report; none since a possible restart.
+  absl::optional<absl::Time> reported_warm_at_;
+  absl::Time possible_restart_;
 };
 
 }  // namespace skylarkshunt
--- a/include/skylarkshunt/node/node_options.h
+++ b/include/skylarkshunt/node/node_options.h
@@ -58,6 +58,11 @@
   uint64_t link_bytes_per_second = 0;
   /// Time between SIGTERM and SIGKILL.
   absl::Duration shutdown_limit = absl::Seconds(6);
+  /// In any second a target that is warming up gets at most `warmup_excess`
+  /// times the rate of ServiceSettings::warmup_per_second plus `warmup_slack`
+  /// opening packets. There is no limit if both are 0.
+  double warmup_excess = 0;
+  double warmup_slack = 0;
 };
 
 /// Callbacks for the handlers of a node's HTTP endpoints. Thread-safe.
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -48,8 +48,14 @@
       target_(options_.service, options_.report_interval, now),
       deliveries_(kMaxDeliveries),
       overload_(now),
+      warmup_limit_(options_.warmup_excess, options_.warmup_slack, now),
       next_sweep_(now + kSweepInterval) {}
 
+void AgentForwarder::SetServiceSettings(const ServiceSettings* settings) {
+  warmup_ = settings == nullptr ? absl::ZeroDuration() : settings->warmup;
+  warmup_limit_.SetRate(settings == nullptr ? 0 : settings->warmup_per_second);
+}
+
 void AgentForwarder::OnForwarded(const ForwardedPacket& forwarded,
                                  const PacketHeader& header,
                                  Endpoint entry,
@@ -117,6 +123,8 @@
   if (dropped.has_value())
     ReturnWaiting(*std::move(dropped), ReturnReason::kQueueFull, now, actions);
   ServeQueue(now, actions);
+  if (IsWarmupLimitReached(now) && queue_.Contains(delivery.flow))
+    ++warmup_counts_.delayed;
   RefuseUnservable(now, actions);
   if (queue_.Contains(delivery.flow) ||
       flows_.IsOpenedBy(delivery.flow, header.sequence))
@@ -142,7 +150,7 @@
     return;
   }
   const SlotForecast forecast = Forecast(now);
-  while (flows_.busy() < forecast.request_limit) {
+  while (flows_.busy() < forecast.request_limit && !IsWarmupLimitReached(now)) {
     absl::optional<WaitingOpening> opening = queue_.Pop(now, forecast);
     if (!opening.has_value())
       return;
@@ -170,6 +178,10 @@
     Deliver(std::move(retransmission), opening.packet, actions);
     return;
   }
+  const bool is_cold = is_warming_up(now);
+  warmup_limit_.Record(is_cold, now);
+  if (is_cold)
+    ++warmup_counts_.delivered;
   flows_.Open(opening.flow, opening.entry, opening.kind, opening.sequence, now);
   Decision decision =
       MakeDecision(DecisionKind::kAccepted, opening.flow, "slot");
@@ -206,10 +218,25 @@
 
 SlotForecast AgentForwarder::Forecast(absl::Time now) const {
   const absl::Duration known = flows_.known_service_time(now);
-  return MakeSlotForecast(
+  SlotForecast forecast = MakeSlotForecast(
       target_.slots(),
       known > absl::ZeroDuration() ? known : kInitialServiceTime,
       flows_.handshake_time(), overload_.duration());
+  if (is_warming_up(now)) {
+    forecast.slot_interval =
+        std::max(forecast.slot_interval, warmup_limit_.interval());
+    forecast.answer_time +=
+        std::max(absl::ZeroDuration(), warmup_limit_.NextDelivery() - now);
+  }
+  return forecast;
+}
+
+bool AgentForwarder::is_warming_up(absl::Time now) const {
+  return warmup_limit_.is_in_force() && now < target_.warm_at(warmup_);
+}
+
+bool AgentForwarder::IsWarmupLimitReached(absl::Time now) const {
+  return is_warming_up(now) && now < warmup_limit_.NextDelivery();
 }
 
 void AgentForwarder::OnEstablished(const ForwardedPacket& forwarded,
@@ -354,8 +381,10 @@
   if (header.opening) {
     if (flow != nullptr && flow->phase == AgentFlows::Phase::kOpening)
       flows_.Erase(id);
-    if (target_.OnRefused())
+    if (target_.OnRefused()) {
+      target_.OnPossibleRestart(now);
       actions.probe_target = true;
+    }
     ReturnToEntry(delivery, ReturnReason::kTargetRefused, packet, now, actions);
     ServeQueue(now, actions);
     return;
@@ -553,6 +582,8 @@
     next = std::min(next, granted_.front().first);
   if (!queue_.empty())
     next = std::min(next, now + kQueueCheckInterval);
+  if (!queue_.empty() && IsWarmupLimitReached(now))
+    next = std::min(next, warmup_limit_.NextDelivery());
   return next;
 }
 
@@ -572,13 +603,22 @@
   AgentLoad load;
   load.slots = static_cast<uint16_t>(std::min<uint32_t>(
       target_.slots(), std::numeric_limits<uint16_t>::max()));
-  const size_t busy = flows_.busy() + queue_.in_time();
+  size_t at_target = flows_.busy();
+  absl::Duration service_time = flows_.known_service_time(now);
+  if (is_warming_up(now)) {
+    service_time =
+        std::max(service_time, load.slots * warmup_limit_.interval());
+    // The next packet waits as if the slots were occupied.
+    if (IsWarmupLimitReached(now))
+      at_target = std::max<size_t>(at_target, load.slots);
+  }
+  const size_t busy = at_target + queue_.in_time();
   load.busy = static_cast<uint16_t>(
       std::min<size_t>(busy, std::numeric_limits<uint16_t>::max()));
   load.open_flows = flows_.open();
-  load.service_time_us = static_cast<uint32_t>(std::min<int64_t>(
-      absl::ToInt64Microseconds(flows_.known_service_time(now)),
-      std::numeric_limits<uint32_t>::max()));
+  load.service_time_us = static_cast<uint32_t>(
+      std::min<int64_t>(absl::ToInt64Microseconds(service_time),
+                        std::numeric_limits<uint32_t>::max()));
   load.failing_permille = flows_.failing_permille(now);
   load.state = target_.state(now);
   if (leaving_)
--- a/lib/forwarding/route_table_codec.cc
+++ b/lib/forwarding/route_table_codec.cc
@@ -1,11 +1,14 @@
 #include "skylarkshunt/forwarding/route_table_codec.h"
 
 #include <algorithm>
+#include <cmath>
+#include <cstring>
 #include <limits>
 #include <utility>
 #include <vector>
 
 #include "byte_codec.h"
+#include "skylarkshunt/base/hash.h"
 
 namespace skylarkshunt {
 namespace {
@@ -28,6 +31,64 @@
                         : absl::Microseconds(static_cast<int64_t>(time));
 }
 
+/// Name of the service that holds the warm-up of another one. Nodes of releases
+/// without warm-ups read it as a service that no route uses.
+constexpr absl::string_view kWarmupRecord = "skylarkshunt-warmup";
+constexpr uint64_t kWarmupSeed = 0x7761726d;
+
+ServiceUid WarmupUidOf(ServiceUid service) {
+  return ServiceUid{StableHash(ToNumber(service), kWarmupSeed)};
+}
+
+bool HasWarmup(const ServiceSettings& settings) {
+  return settings.warmup != absl::ZeroDuration() ||
+         settings.warmup_per_second != 0;
+}
+
+ServiceSettings MakeWarmupRecord(ServiceUid service,
+                                 const ServiceSettings& settings) {
+  uint64_t per_second = 0;
+  static_assert(sizeof(per_second) == sizeof(settings.warmup_per_second),
+                "a rate is written as 8 bytes");
+  std::memcpy(&per_second, &settings.warmup_per_second, sizeof(per_second));
+  std::vector<uint8_t> bytes;
+  ByteWriter writer(bytes);
+  writer.Identity(service);
+  writer.Number(ToMicroseconds(settings.warmup));
+  writer.Number(per_second);
+  ServiceSettings record;
+  record.name = std::string(kWarmupRecord);
+  record.health_path.assign(bytes.begin(), bytes.end());
+  return record;
+}
+
+/// Moves the values of a warm-up record to its service. Returns false if the
+/// service `uid` is not such a record.
+bool ReadWarmupRecord(ServiceUid uid,
+                      const ServiceSettings& record,
+                      RouteTable& table) {
+  if (record.name != kWarmupRecord)
+    return false;
+  ByteReader reader(absl::MakeConstSpan(
+      reinterpret_cast<const uint8_t*>(record.health_path.data()),
+      record.health_path.size()));
+  const auto service = reader.Identity<ServiceUid>();
+  const absl::Duration warmup = FromMicroseconds(reader.Number<uint64_t>());
+  const auto bits = reader.Number<uint64_t>();
+  if (!reader.complete() || WarmupUidOf(service) != uid)
+    return false;
+  double per_second = 0;
+  std::memcpy(&per_second, &bits, sizeof(per_second));
+  const auto found = table.services.find(service);
+  const bool is_valid = warmup >= absl::ZeroDuration() &&
+                        std::isfinite(per_second) && per_second >= 0;
+  if (found != table.services.end() && is_valid) {
+    found->second.warmup = warmup;
+    found->second.warmup_per_second = per_second;
+  }
+  return true;
+}
+
 void WriteRoute(ByteWriter& writer, Endpoint address, const Route& route) {
   writer.Address(address);
   writer.Text(route.name);
@@ -86,9 +147,14 @@
   writer.Number(kVersion);
   writer.Number(table.version);
   writer.Number(ToMicroseconds(table.idle_timeout));
-  writer.Number(static_cast<uint32_t>(table.services.size()));
+  absl::flat_hash_map<ServiceUid, ServiceSettings> records = table.services;
+  for (const auto& [uid, settings] : table.services) {
+    if (HasWarmup(settings))
+      records[WarmupUidOf(uid)] = MakeWarmupRecord(uid, settings);
+  }
+  writer.Number(static_cast<uint32_t>(records.size()));
   const auto by_uid = [](ServiceUid uid) { return ToNumber(uid); };
-  for (const auto* service : Sorted(table.services, by_uid)) {
+  for (const auto* service : Sorted(records, by_uid)) {
     writer.Identity(service->first);
     writer.Text(service->second.name);
     writer.Text(service->second.health_path);
@@ -120,6 +186,12 @@
     settings.max_connections = reader.Number<uint32_t>();
     table.services[uid] = std::move(settings);
   }
+  const absl::flat_hash_map<ServiceUid, ServiceSettings> records =
+      table.services;
+  for (const auto& [uid, record] : records) {
+    if (ReadWarmupRecord(uid, record, table))
+      table.services.erase(uid);
+  }
   const auto routes = reader.Number<uint32_t>();
   for (uint32_t i = 0; i < routes && reader.ok(); ++i)
     ReadRoute(reader, table);
--- a/lib/forwarding/target_state.cc
+++ b/lib/forwarding/target_state.cc
@@ -20,7 +20,10 @@
 TargetState::TargetState(std::string service,
                          absl::Duration interval,
                          absl::Time started)
-    : service_(std::move(service)), interval_(interval), started_(started) {}
+    : service_(std::move(service)),
+      interval_(interval),
+      started_(started),
+      possible_restart_(started) {}
 
 TargetChange TargetState::OnReport(const TargetReport& report, absl::Time now) {
   if (report.service != service_)
@@ -62,6 +65,9 @@
   slots_ = report.slots;
   draining_ = report.draining;
   last_seen_ = now;
+  reported_warm_at_ = report.warmup_left > absl::ZeroDuration()
+                          ? now + report.warmup_left
+                          : absl::InfinitePast();
   if (another)
     return TargetChange::kRestarted;
   if (first)
@@ -121,6 +127,19 @@
   connection_refused_ = true;
   unresponsive_ = true;
   seen_absent_ = true;
+  OnPossibleRestart(began);
+}
+
+void TargetState::OnPossibleRestart(absl::Time now) {
+  reported_warm_at_.reset();
+  possible_restart_ = now;
+}
+
+absl::Time TargetState::warm_at(absl::Duration warmup) const {
+  // The process that follows may start some time after the possible restart,
+  // but it is soon reported or seen to be absent again.
+  return reported_warm_at_.value_or(possible_restart_ + warmup +
+                                    kMissedReports * interval_);
 }
 
 bool TargetState::OnRefused() {
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -22,6 +22,8 @@
 constexpr EventId kTargetProbed{3115, "target_probed"};
 constexpr EventId kTargetFailing{3116, "target_failing"};
 constexpr EventId kTargetRecovered{3117, "target_well_again"};
+constexpr EventId kWarmupBegan{3121, "target_warmup_began"};
+constexpr EventId kWarmupEnded{3122, "target_warmup_ended"};
 constexpr EventId kSuspended{1012, "agent_was_suspended"};
 
 /// Shortest time for which an agent that shuts down keeps forwarding. Its last
@@ -67,13 +69,24 @@
                  kSuspended),
         identity_(MakeIdentity(options)),
         forwarder_({identity_, options.node.service,
-                    options.node.target_report_interval},
+                    options.node.target_report_interval,
+                    options.node.warmup_excess, options.node.warmup_slack},
                    started_),
         nodes_(Role::kAgent,
                options.node.peers.address,
                kAgentReportInterval,
                options.node.seeds,
-               started_) {
+               started_),
+        warming_up_gauge_(options.counters->Find(
+            "skylarkshunt_target_warming_up",
+            "Whether the target may be cold and its openings are limited.",
+            MetricType::kGauge)),
+        warmup_delivered_(options.counters->Find(
+            "skylarkshunt_warmup_openings_total",
+            "Opening packets delivered to a target that was warming up.")),
+        warmup_delayed_(options.counters->Find(
+            "skylarkshunt_warmup_openings_delayed_total",
+            "Opening packets that waited since the target was warming up.")) {
     for (size_t i = 0; i < kNotHeldEvidences; ++i) {
       not_held_[i] = &options.counters->Find(
           "skylarkshunt_not_held_total",
@@ -94,6 +107,10 @@
     void operator()(const ConfigurationInForce& configuration) const {
       const bool first = loop.configuration_ == Revision{};
       loop.configuration_ = configuration.revision;
+      const auto& services = configuration.routes->services;
+      const auto service = services.find(loop.identity_.service);
+      loop.forwarder_.SetServiceSettings(
+          service == services.end() ? nullptr : &service->second);
       // A target that kept running while its agent was down reports only after
       // up to a whole interval. Its health check shows at once that it accepts
       // flows.
@@ -215,6 +232,7 @@
     nodes_.RemoveUnresponsive(now);
     PublishStatus(now);
     LogOutcomes(now);
+    RecordWarmup(now);
     for (size_t i = 0; i < kNotHeldEvidences; ++i)
       not_held_[i]->Set(forwarder_.not_held_counts()[i]);
   }
@@ -313,6 +331,22 @@
         .Field("service_time_us", load.service_time_us);
   }
 
+  void RecordWarmup(absl::Time now) {
+    const WarmupCounts& counts = forwarder_.warmup_counts();
+    warmup_delivered_.Set(counts.delivered);
+    warmup_delayed_.Set(counts.delayed);
+    const bool warming_up = forwarder_.is_warming_up(now);
+    warming_up_gauge_.Set(warming_up ? 1 : 0);
+    if (warming_up == warming_up_)
+      return;
+    warming_up_ = warming_up;
+    LogLine(warming_up ? kWarmupBegan : kWarmupEnded)
+        .Field("target", forwarder_.target().id())
+        .Field("most_per_second", forwarder_.warmup_limit().most_per_second())
+        .Field("delivered", counts.delivered)
+        .Field("delayed", counts.delayed);
+  }
+
   void PublishStatus(absl::Time now) {
     NodeStatus status;
     status.role = Role::kAgent;
@@ -345,6 +379,10 @@
   uint64_t sequence_ = 0;
   absl::Time last_report_ = absl::InfinitePast();
   bool failing_ = false;
+  bool warming_up_ = false;
+  Counter& warming_up_gauge_;
+  Counter& warmup_delivered_;
+  Counter& warmup_delayed_;
   /// By NotHeldEvidence.
   std::array<Counter*, kNotHeldEvidences> not_held_{};
 };
--- a/unittests/forwarding/overload_simulation.cc
+++ b/unittests/forwarding/overload_simulation.cc
@@ -60,6 +60,9 @@
   route.kind = RequestKind::kIdempotent;
   route.latency_objective = options.objective;
   route.deadline = options.deadline;
+  ServiceSettings& service = routes->services[kService];
+  service.warmup = options.warmup;
+  service.warmup_per_second = options.warmup_per_second;
   routes_ = routes;
   entries_.resize(options.entries);
   for (size_t i = 0; i < options.entries; ++i) {
@@ -93,7 +96,10 @@
   AgentForwarder::Options options;
   options.identity = agent.identity;
   options.service = "dispatch";
+  options.warmup_excess = options_.warmup_excess;
+  options.warmup_slack = options_.warmup_slack;
   agent.forwarder = std::make_unique<AgentForwarder>(options, now_);
+  agent.forwarder->SetServiceSettings(&routes_->services.at(kService));
   ReportTarget(agent);
 }
 
@@ -104,6 +110,7 @@
   report.started_unix_ms = static_cast<int64_t>(agent.starts);
   report.sequence = agent.sequence + 1;
   report.slots = options_.slots;
+  report.warmup_left = std::max(agent.warm_at - now_, absl::ZeroDuration());
   AgentActions actions;
   agent.forwarder->OnTargetReport(report, now_, actions);
   Execute(static_cast<size_t>(&agent - agents_.data()), actions);
@@ -153,6 +160,20 @@
   After(time + kColdTime, [this] { cold_factor_ = 1.0; });
 }
 
+void OverloadSimulation::RestartAgents(size_t count, absl::Duration time) {
+  for (size_t i = 0; i < count; ++i) {
+    agents_[i].down_until = now_ + time;
+    After(time, [this, i] {
+      agents_[i].warm_at = now_ + options_.warmup;
+      StartAgent(i);
+    });
+  }
+}
+
+bool OverloadSimulation::IsDown(size_t agent) const {
+  return now_ < std::max(dark_until_, agents_[agent].down_until);
+}
+
 void OverloadSimulation::ScheduleArrival() {
   std::exponential_distribution<double> gap(rate_);
   After(absl::Seconds(gap(random_)), [this, run = arrivals_] {
@@ -175,7 +196,9 @@
       entries_[i].forwarder->ExpireIdle(now_);
       Execute(i, actions);
     }
-    for (size_t i = 0; now_ >= dark_until_ && i < agents_.size(); ++i) {
+    for (size_t i = 0; i < agents_.size(); ++i) {
+      if (IsDown(i))
+        continue;
       AgentActions actions;
       agents_[i].forwarder->Tick(now_, actions);
       Execute(i, actions);
@@ -187,7 +210,7 @@
 void OverloadSimulation::ScheduleReport(size_t index) {
   After(kReportInterval * (1.0 + 0.1 * static_cast<double>(index % 5)),
         [this, index] {
-          if (now_ >= dark_until_) {
+          if (!IsDown(index)) {
             Agent& agent = agents_[index];
             ReportTarget(agent);
             AgentReport report;
@@ -273,7 +296,7 @@
     const PacketHeader header = FromBytes(message.packet);
     After(options_.node_delay,
           [this, agent, message, header, source]() mutable {
-            if (now_ < dark_until_)
+            if (IsDown(agent))
               return;
             const std::vector<uint8_t> bytes = ToBytes(header);
             message.packet = bytes;
@@ -338,11 +361,13 @@
 void OverloadSimulation::ToTarget(size_t index, const PacketHeader& header) {
   const FlowId flow = header.flow_from_client();
   if (header.opening) {
+    if (now_ < agents_[index].warm_at)
+      agents_[index].cold_openings.push_back(now_);
     PacketHeader grant = TargetHeader(flow);
     grant.opening = true;
     grant.sequence = kGrantSequence;
     After(absl::Microseconds(100), [this, index, grant] {
-      if (now_ >= dark_until_)
+      if (!IsDown(index))
         FromTarget(index, grant);
     });
     return;
@@ -362,11 +387,13 @@
   ++target.running;
   std::normal_distribution<double> normal;
   const double spread = options_.work_spread;
+  const double cold_factor =
+      now_ < agents_[index].warm_at ? options_.warmup_factor : cold_factor_;
   const absl::Duration work =
-      cold_factor_ * options_.work *
+      cold_factor * options_.work *
       std::exp(spread * normal(random_) - spread * spread / 2);
   After(work, [this, index, flow, start = agents_[index].starts] {
-    if (start != agents_[index].starts || now_ < dark_until_)
+    if (start != agents_[index].starts || IsDown(index))
       return;
     --agents_[index].target.running;
     PacketHeader answer = TargetHeader(flow);
--- a/unittests/forwarding/overload_simulation.h
+++ b/unittests/forwarding/overload_simulation.h
@@ -39,6 +39,13 @@
     absl::Duration deadline = absl::Seconds(2);
     int attempts = 3;
     uint32_t seed = 1;
+    /// Warm-up of a target after RestartAgents().
+    absl::Duration warmup = absl::ZeroDuration();
+    double warmup_per_second = 0;
+    /// Work of a request during the warm-up, as a multiple of the usual one.
+    double warmup_factor = 1.0;
+    double warmup_excess = 0;
+    double warmup_slack = 0;
   };
 
   enum class Outcome : uint8_t { kPending, kInTime, kLate, kFailed };
@@ -65,7 +72,15 @@
   /// targets are slower by `cold_factor` for two seconds after that.
   void LosePower(absl::Duration time, double cold_factor);
 
+  /// Stops the first `count` agents and their targets for `time`. The targets
+  /// are cold afterwards.
+  void RestartAgents(size_t count, absl::Duration time);
+
   absl::Time now() const { return now_; }
+  /// Times at which the cold target of an agent got opening packets.
+  const std::vector<absl::Time>& cold_openings(size_t agent) const {
+    return agents_[agent].cold_openings;
+  }
   const std::vector<Request>& requests() const { return requests_; }
   /// Times from an opening packet to its refusal.
   const std::vector<absl::Duration>& refusal_times() const {
@@ -88,6 +103,9 @@
     AgentIdentity identity;
     uint64_t sequence = 0;
     uint64_t starts = 0;
+    absl::Time down_until = absl::InfinitePast();
+    absl::Time warm_at = absl::InfinitePast();
+    std::vector<absl::Time> cold_openings;
   };
   struct Entry {
     std::unique_ptr<EntryForwarder> forwarder;
@@ -111,6 +129,7 @@
   void StartEntry(size_t entry);
   void StartAgent(size_t agent);
   void ReportTarget(Agent& agent);
+  bool IsDown(size_t agent) const;
   void Attempt(size_t request);
   void SendOpening(size_t request, int attempt, int copy);
   void EndAttempt(size_t request, int attempt, bool refused);
--- a/unittests/forwarding/route_table_codec_test.cc
+++ b/unittests/forwarding/route_table_codec_test.cc
@@ -14,8 +14,10 @@
   table.version = 26;
   table.idle_timeout = absl::Seconds(12);
   const ServiceUid service = MakeServiceUid("dispatch");
-  table.services[service] = {"dispatch", "/health", 2000};
-  table.services[MakeServiceUid("schemata")] = {"schemata", "", 0};
+  table.services[service] = {"dispatch", "/health", 2000, absl::ZeroDuration(),
+                             0};
+  table.services[MakeServiceUid("schemata")] = {"schemata", "", 0,
+                                                absl::ZeroDuration(), 0};
   for (uint32_t i = 0; i < routes; ++i) {
     Route route;
     route.name = absl::StrCat("route-", i);
@@ -35,6 +37,9 @@
   CPPUNIT_TEST(TableSurvivesARoundTrip);
   CPPUNIT_TEST(SameTableGivesTheSameBytes);
   CPPUNIT_TEST(DamagedBytesAreRejected);
+  CPPUNIT_TEST(WarmupsSurviveARoundTrip);
+  CPPUNIT_TEST(PreviousReleaseReadsWarmupsAsServices);
+  CPPUNIT_TEST(ForeignWarmupRecordsStayServices);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -96,6 +101,74 @@
       byte = before;
     }
   }
+
+  void WarmupsSurviveARoundTrip() {
+    const RouteTable table = TableWithWarmup();
+    const RouteTable read = DecodeRouteTable(EncodeRouteTable(table)).value();
+    CPPUNIT_ASSERT_EQUAL(table.services.size(), read.services.size());
+    const ServiceSettings& warm = read.services.at(MakeServiceUid("dispatch"));
+    CPPUNIT_ASSERT(warm.warmup == absl::Milliseconds(7500));
+    CPPUNIT_ASSERT_EQUAL(0.1, warm.warmup_per_second);
+    CPPUNIT_ASSERT_EQUAL(std::string("/health"), warm.health_path);
+    const ServiceSettings& other = read.services.at(MakeServiceUid("schemata"));
+    CPPUNIT_ASSERT(other.warmup == absl::ZeroDuration());
+    CPPUNIT_ASSERT_EQUAL(0.0, other.warmup_per_second);
+    CPPUNIT_ASSERT(EncodeRouteTable(read) == EncodeRouteTable(table));
+    const std::string bytes = EncodeRouteTable(table);
+    for (size_t size = 0; size < bytes.size(); ++size)
+      CPPUNIT_ASSERT(!DecodeRouteTable(bytes.substr(0, size)).has_value());
+  }
+
+  // Guards against nodes of the previous release that reject the configuration
+  // of a fleet with warm-ups. They know the layout without warm-ups, in which
+  // the values are an additional service that no route uses.
+  void PreviousReleaseReadsWarmupsAsServices() {
+    const std::string bytes = EncodeRouteTable(TableWithWarmup());
+    CPPUNIT_ASSERT_EQUAL(char{1}, bytes[0]);
+    constexpr size_t kServicesAt = 17;
+    CPPUNIT_ASSERT_EQUAL(char{3}, bytes[kServicesAt]);
+    const auto number = [&bytes](size_t at) {
+      return static_cast<uint8_t>(bytes.at(at)) +
+             256 * static_cast<size_t>(static_cast<uint8_t>(bytes.at(at + 1)));
+    };
+    size_t at = kServicesAt + 4;
+    for (int service = 0; service < 3; ++service) {
+      at += 8;
+      at += 2 + number(at);
+      at += 2 + number(at);
+      at += 4;
+    }
+    // The number of routes follows, and the routes are those of a table without
+    // warm-ups.
+    const std::string plain = EncodeRouteTable(Table(3));
+    CPPUNIT_ASSERT_EQUAL(char{3}, bytes.at(at));
+    CPPUNIT_ASSERT_EQUAL(std::string::npos, plain.find("warmup"));
+    CPPUNIT_ASSERT(plain.substr(plain.size() - (bytes.size() - at)) ==
+                   bytes.substr(at));
+  }
+
+  // Guards against a service of the operator that is lost since its name is the
+  // one of the records.
+  void ForeignWarmupRecordsStayServices() {
+    RouteTable table = Table(1);
+    for (const char* path : {"", "/health", "0123456701234567012345670"}) {
+      const ServiceUid uid = MakeServiceUid("skylarkshunt-warmup");
+      table.services[uid].name = "skylarkshunt-warmup";
+      table.services[uid].health_path = path;
+      const RouteTable read = DecodeRouteTable(EncodeRouteTable(table)).value();
+      CPPUNIT_ASSERT_EQUAL(std::string(path),
+                           read.services.at(uid).health_path);
+    }
+  }
+
+ private:
+  static RouteTable TableWithWarmup() {
+    RouteTable table = Table(3);
+    ServiceSettings& settings = table.services.at(MakeServiceUid("dispatch"));
+    settings.warmup = absl::Milliseconds(7500);
+    settings.warmup_per_second = 0.1;
+    return table;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableCodecTest);
--- a/unittests/platform_adapter/platform_adapter_test.cc
+++ b/unittests/platform_adapter/platform_adapter_test.cc
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(SetReturnTokenChangesNoOtherField);
   CPPUNIT_TEST(MalformedPacketsAreRejected);
   CPPUNIT_TEST(ConfigurationIsRead);
+  CPPUNIT_TEST(WarmupIsRead);
   CPPUNIT_TEST(MalformedConfigurationsAreRejected);
   CPPUNIT_TEST(UnknownKindsRunAtMostOnce);
   CPPUNIT_TEST(UnreadablePartsLeaveTheRestInUse);
@@ -164,6 +165,25 @@
     CPPUNIT_ASSERT(table.idle_timeout == absl::Seconds(15));
     CPPUNIT_ASSERT_EQUAL(std::string("/health"),
                          table.services.at(MakeServiceUid("x")).health_path);
+    CPPUNIT_ASSERT_EQUAL(
+        0.0, table.services.at(MakeServiceUid("x")).warmup_per_second);
+  }
+
+  void WarmupIsRead() {
+    const std::string text =
+        Replaced(kConfiguration, "\"max-conns\":2000",
+                 R"("max-conns":2000,"warmup-s":7.5,"warmup-per-s":0.25)");
+    const ServiceSettings settings =
+        ParseConfiguration(text).value().services.at(MakeServiceUid("x"));
+    CPPUNIT_ASSERT(settings.warmup == absl::Milliseconds(7500));
+    CPPUNIT_ASSERT_EQUAL(0.25, settings.warmup_per_second);
+    for (const char* value : {"-1", "\"20\"", "[]", "true"}) {
+      const RouteTable table =
+          ParseConfiguration(Replaced(text, "0.25", value)).value();
+      CPPUNIT_ASSERT_EQUAL(
+          0.0, table.services.at(MakeServiceUid("x")).warmup_per_second);
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, table.ignored.count);
+    }
   }
 
   void MalformedConfigurationsAreRejected() {
@@ -364,6 +384,20 @@
                    absl::Seconds(5));
     CPPUNIT_ASSERT(
         ParseNodeSettings(settings + "\nbounds.config-apply-ms=0").has_value());
+    CPPUNIT_ASSERT_EQUAL(0.0, options.warmup_excess + options.warmup_slack);
+    const NodeOptions limited =
+        ParseNodeSettings(absl::StrCat(kSettings,
+                                       "bounds.warmup-excess=1.5\n"
+                                       "bounds.warmup-slack=5\n"))
+            .value();
+    CPPUNIT_ASSERT_EQUAL(1.5, limited.warmup_excess);
+    CPPUNIT_ASSERT_EQUAL(5.0, limited.warmup_slack);
+    for (const char* value : {"-1", "inf", "nan", "much"}) {
+      CPPUNIT_ASSERT(
+          !ParseNodeSettings(
+               absl::StrCat(kSettings, "bounds.warmup-excess=", value))
+               .has_value());
+    }
   }
 
   void ErrorOfInvalidSettingsNamesTheKey() {
