Test flows of routes that change with both kinds of search

The tests of former services covered one change and searches with packets only. They now also run with searches by queries, and cover a share that ends and begins again, two changes in a row, entries that stop in turn, an agent of a former service that was restarted beside its target, and a full table.

--- a/unittests/forwarding/former_services_test.cc
+++ b/unittests/forwarding/former_services_test.cc
@@ -14,6 +14,7 @@
 
 const ServiceUid kOld = MakeServiceUid("dispatch");
 const ServiceUid kNew = MakeServiceUid("schemata");
+const ServiceUid kLast = MakeServiceUid("archive");
 constexpr uint32_t kDataCentre = 1;
 /// Later than any settle time of a small fleet.
 constexpr absl::Duration kSettled = absl::Seconds(20);
@@ -22,7 +23,8 @@
                                           std::vector<RouteShare> shares) {
   auto table = std::make_shared<RouteTable>();
   table->version = version;
-  table->routes[FlowPackets().flow().service].shares = std::move(shares);
+  if (!shares.empty())
+    table->routes[FlowPackets().flow().service].shares = std::move(shares);
   return table;
 }
 
@@ -35,6 +37,10 @@
   return agent;
 }
 
+ServiceUid ServiceOf(uint64_t uid) {
+  return uid <= 2 ? kOld : uid <= 4 ? kNew : kLast;
+}
+
 /// An entry with agents 1 and 2 of the old service and 3 and 4 of the new one.
 class FormerServicesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FormerServicesTest);
@@ -44,9 +50,16 @@
   CPPUNIT_TEST(StartedEntryResetsAFlowThatEveryAgentDenies);
   CPPUNIT_TEST(FormerServiceIsForgottenAfterTheLifetimeOfAFlow);
   CPPUNIT_TEST(TooManyChangesMakeTheFormerServicesUnknown);
+  CPPUNIT_TEST(FlowOfAnEndedShareIsFound);
+  CPPUNIT_TEST(FlowIsFoundAfterTwoChanges);
+  CPPUNIT_TEST(EntriesThatStopInTurnLeaveTheFlowOpen);
+  CPPUNIT_TEST(RestartedAgentOfAFormerServiceIsAwaited);
+  CPPUNIT_TEST(FullTableLeavesFlowsOpen);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void setUp() override { StartEntry(kStart - kSettled); }
+
   // Guards against the reset of an open flow by an entry without it in its
   // cache, after its route has moved to another service (review case 2).
   void FlowIsFoundAtAServiceThatItsRouteNoLongerNames() {
@@ -57,8 +70,7 @@
     CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{1, 2, 3, 4}));
     Deny({2, 3, 4});
     CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
-    entry_.OnPlaced({IdentityOf(1, kOld), {}, flow_.flow()}, EndpointOf(1),
-                    now_, actions_);
+    Place(1);
     CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{1}));
   }
 
@@ -86,8 +98,7 @@
     CPPUNIT_ASSERT(only_known_ == std::vector<uint64_t>({1, 2}));
     Deny({2});
     CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
-    entry_.OnPlaced({IdentityOf(1, kOld), {}, flow_.flow()}, EndpointOf(1),
-                    now_, actions_);
+    Place(1);
     CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{1}));
   }
 
@@ -129,70 +140,226 @@
     CPPUNIT_ASSERT(services.IsComplete(later));
   }
 
+  // Guards against the reset of flows of a canary that ends, whether its share
+  // is 0 or left out, and begins again.
+  void FlowOfAnEndedShareIsFound() {
+    SetRoute(1, {{kOld, 10}, {kNew, 90}});
+    Pass(FormerServices::kFlowLifetime);
+    const std::vector<std::vector<RouteShare>> versions = {
+        {{kOld, 0}, {kNew, 1}},
+        {{kNew, 1}},
+        {{kOld, 10}, {kNew, 90}},
+        {{kNew, 1}}};
+    for (const std::vector<RouteShare>& shares : versions) {
+      SetRoute(entry_->routes()->version + 1, shares);
+      Pass(absl::Seconds(4));
+      CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{1, 2, 3, 4}));
+      Deny({2, 3, 4});
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    }
+  }
+
+  // Guards against the reset of flows of the first of three services.
+  void FlowIsFoundAfterTwoChanges() {
+    agents_ = 5;
+    SetRoute(1, {{kOld, 1}});
+    Pass(FormerServices::kFlowLifetime);
+    SetRoute(2, {{kNew, 1}});
+    Pass(absl::Seconds(5));
+    SetRoute(3, {{kLast, 1}});
+    Pass(absl::Seconds(5));
+    CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{1, 2, 3, 4, 5}));
+    Deny({2, 3, 4, 5});
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+  }
+
+  // Guards against a reset by the third entry that a flow passes through. The
+  // first one has stopped, the second one has had both versions, and the third
+  // one starts when the second one stops.
+  void EntriesThatStopInTurnLeaveTheFlowOpen() {
+    SetRoute(1, {{kOld, 1}});
+    Pass(FormerServices::kFlowLifetime);
+    SetRoute(2, {{kNew, 1}});
+    Pass(absl::Seconds(2));
+    Search();
+    Deny({2, 3, 4});
+    Place(1);
+    CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{1}));
+    StartEntry(now_);
+    SetRoute(2, {{kNew, 1}});
+    for (int i = 0; i < 60; ++i) {
+      Pass(absl::Seconds(1));
+      Search();
+      Deny({2, 3, 4});
+      entry_->ExpireIdle(now_);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    Place(1);
+    CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{1}));
+  }
+
+  // Guards against a reset while the agent that holds the flow was restarted
+  // beside its target, and against packets that never reach that target.
+  void RestartedAgentOfAFormerServiceIsAwaited() {
+    SetRoute(1, {{kOld, 1}});
+    Pass(FormerServices::kFlowLifetime);
+    SetRoute(2, {{kNew, 1}});
+    incarnation_of_first_ = 2;
+    Pass(absl::Seconds(1));
+    bool got_packet = false;
+    for (int i = 0; i < 5; ++i) {
+      Pass(absl::Milliseconds(500));
+      Search();
+      Deny({2, 3, 4});
+      got_packet = got_packet || IsUnclear(1);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    CPPUNIT_ASSERT(got_packet);
+  }
+
+  // More routes change than the table has room for. Guards against the reset of
+  // the flows of a route whose former service is not recorded.
+  void FullTableLeavesFlowsOpen() {
+    agents_ = 5;
+    auto first = std::make_shared<RouteTable>(*RouteTo(1, {{kLast, 1}}));
+    auto second = std::make_shared<RouteTable>(*RouteTo(2, {{kNew, 1}}));
+    for (uint32_t i = 0; i < FormerServices::kMaxServices; ++i) {
+      first->routes[{i, 443}].shares = {{kLast, 1}};
+      second->routes[{i, 443}].shares = {{kNew, 1}};
+    }
+    entry_->SetRoutes(first, now_);
+    Pass(FormerServices::kFlowLifetime);
+    entry_->SetRoutes(second, now_);
+    SetRoute(3, {{kOld, 1}});
+    SetRoute(4, {{kLast, 1}});
+    Pass(absl::Seconds(5));
+    Search();
+    Deny({5, 3, 4, 2});
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    CPPUNIT_ASSERT((queried_ == std::vector<uint64_t>{1, 2, 3, 4, 5}));
+  }
+
+ protected:
+  /// Rate of the entry's link, in bytes per second; 0 if unknown.
+  virtual uint64_t link_rate() const { return 0; }
+
  private:
   static Endpoint EndpointOf(uint64_t uid) {
     return {static_cast<uint32_t>(uid), 7720};
   }
 
+  void StartEntry(absl::Time started) {
+    entry_ = std::make_unique<EntryForwarder>(kDataCentre, started);
+    entry_->SetLinkRate(link_rate());
+  }
+
   void SetRoute(uint64_t version, std::vector<RouteShare> shares) {
-    entry_.SetRoutes(RouteTo(version, std::move(shares)), now_);
+    entry_->SetRoutes(RouteTo(version, std::move(shares)), now_);
   }
 
   /// Lets time pass, in which all agents report.
   void Pass(absl::Duration time) {
-    for (uint64_t uid = 1; uid <= 4; ++uid)
+    for (uint64_t uid = 1; uid <= agents_; ++uid)
       Report(uid);
     now_ += time;
-    for (uint64_t uid = 1; uid <= 4; ++uid)
+    for (uint64_t uid = 1; uid <= agents_; ++uid)
       Report(uid);
+    actions_.Clear();
+    entry_->Tick(now_, actions_);
+    RecordActions();
+    if (time >= absl::Seconds(1))
+      entry_->ExpireIdle(now_);
+  }
+
+  AgentIdentity Identity(uint64_t uid) const {
+    AgentIdentity agent = IdentityOf(uid, ServiceOf(uid));
+    if (uid == 1)
+      agent.incarnation = Incarnation{incarnation_of_first_};
+    return agent;
   }
 
   void Report(uint64_t uid) {
     AgentReport report;
-    report.agent = IdentityOf(uid, uid <= 2 ? kOld : kNew);
+    report.agent = Identity(uid);
     report.sequence = ++sequence_;
     report.load.slots = 4;
     report.load.state = InstanceState::kServing;
     report.interval_ms = 100;
-    entry_.agents().UpdateFromReport(report, EndpointOf(uid), now_);
+    entry_->agents().UpdateFromReport(report, EndpointOf(uid), now_);
   }
 
-  /// Handles a packet of the flow. Returns the agents that got it.
+  /// Handles a packet of the flow. Returns the agents that got it, or a query.
   std::vector<uint64_t> Search() {
+    Client(flow_.Request());
+    return queried_;
+  }
+
+  void Client(const PacketHeader& header) {
     actions_.Clear();
     queried_.clear();
-    entry_.OnClientPacket(flow_.Request(), kPacketBytes, now_, actions_);
+    only_known_.clear();
+    entry_->OnClientPacket(header, kPacketBytes, now_, actions_);
     RecordActions();
-    return queried_;
   }
 
   /// The agents answer that they do not hold the flow.
   void Deny(const std::vector<uint64_t>& agents) {
     for (const uint64_t uid : agents) {
-      ReturnedPacket returned;
-      returned.agent = IdentityOf(uid, uid <= 2 ? kOld : kNew);
-      returned.load.state = InstanceState::kServing;
-      returned.reason = ReturnReason::kNotHeld;
-      returned.mode = ForwardMode::kSearch;
-      returned.packet = kPacketBytes;
       actions_.Clear();
-      entry_.OnReturned(returned, flow_.Request(), EndpointOf(uid), now_,
-                        actions_);
-      RecordActions();
+      if (link_rate() > 0) {
+        Answer(uid, QueryAnswer::Outcome::kNotHeld);
+      } else {
+        ReturnedPacket returned;
+        returned.agent = Identity(uid);
+        returned.load.state = InstanceState::kServing;
+        returned.reason = ReturnReason::kNotHeld;
+        returned.mode = ForwardMode::kSearch;
+        returned.packet = kPacketBytes;
+        entry_->OnReturned(returned, flow_.Request(), EndpointOf(uid), now_,
+                           actions_);
+      }
+      RecordActions(true);
     }
   }
 
-  void RecordActions() {
+  /// Whether the agent, which cannot tell, passes a packet to its target.
+  bool IsUnclear(uint64_t uid) {
+    if (link_rate() == 0)
+      return only_known_.empty();
+    actions_.Clear();
+    Answer(uid, QueryAnswer::Outcome::kUnclear);
+    return actions_.to_agents.size() == 1 &&
+           !actions_.to_agents[0].message.known_only;
+  }
+
+  void Answer(uint64_t uid, QueryAnswer::Outcome outcome) {
+    QueryAnswer answer;
+    answer.agent = Identity(uid);
+    answer.load.state = InstanceState::kServing;
+    answer.flow = flow_.flow();
+    answer.outcome = outcome;
+    entry_->OnQueryAnswer(answer, EndpointOf(uid), now_, actions_);
+  }
+
+  void Place(uint64_t uid) {
+    actions_.Clear();
+    entry_->OnPlaced({Identity(uid), {}, flow_.flow()}, EndpointOf(uid), now_,
+                     actions_);
+  }
+
+  void RecordActions(bool widened = false) {
     resets_ += actions_.resets.size();
-    if (!actions_.to_agents.empty()) {
-      queried_.clear();
-      only_known_.clear();
-    }
     for (const EntryActions::ToAgent& action : actions_.to_agents) {
       queried_.push_back(action.agent.address);
       if (action.message.known_only)
         only_known_.push_back(action.agent.address);
     }
+    // Each agent is queried once; those of other services after the others.
+    for (const EntryActions::QueryToAgent& action : actions_.queries) {
+      queried_.push_back(action.agent.address);
+      if (widened)
+        only_known_.push_back(action.agent.address);
+    }
     // A packet goes to some agents again when its search is widened.
     for (std::vector<uint64_t>* agents : {&queried_, &only_known_}) {
       std::sort(agents->begin(), agents->end());
@@ -203,7 +370,10 @@
   const FlowPackets flow_;
   absl::Time now_ = kStart;
   uint64_t sequence_ = 0;
-  EntryForwarder entry_{kDataCentre, kStart - kSettled};
+  uint64_t agents_ = 4;
+  /// Incarnation of agent 1.
+  uint64_t incarnation_of_first_ = 1;
+  std::unique_ptr<EntryForwarder> entry_;
   EntryActions actions_;
   std::vector<uint64_t> queried_;
   std::vector<uint64_t> only_known_;
@@ -212,5 +382,16 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FormerServicesTest);
 
+/// The same on a slow link, where entries search by queries.
+class FormerServicesOnSlowLinksTest : public FormerServicesTest {
+  CPPUNIT_TEST_SUB_SUITE(FormerServicesOnSlowLinksTest, FormerServicesTest);
+  CPPUNIT_TEST_SUITE_END();
+
+ protected:
+  uint64_t link_rate() const override { return 1'250'000; }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FormerServicesOnSlowLinksTest);
+
 }  // namespace
 }  // namespace skylarkshunt
