Find flows of a route that was removed and added again

FormerServices did not record the services of a route that a configuration removes, since its flows end. When the route came back with another service within the lifetime of a flow, a search asked the agents of the new service only, and their denials reset flows that the removal had not ended. The services of a removed route are now recorded as well, and repeated changes renew a record instead of adding one.

--- a/include/skylarkshunt/forwarding/former_services.h
+++ b/include/skylarkshunt/forwarding/former_services.h
@@ -13,8 +13,9 @@
 namespace skylarkshunt {
 
 /// Services that earlier configurations named for an address. A configuration
-/// leaves open flows where they are, so their agents may still hold flows. Pure
-/// and not thread-safe.
+/// leaves open flows where they are, so their agents may still hold flows. That
+/// includes flows of a route that was removed and added again before they
+/// ended. Pure and not thread-safe.
 class FormerServices {
  public:
   /// Records that `next` replaces `previous`, which is null for the first
@@ -46,6 +47,9 @@
     absl::Time dropped;
   };
 
+  /// Records that a configuration without `service` came into force.
+  void Add(Endpoint address, ServiceUid service, absl::Time now);
+
   absl::flat_hash_map<Endpoint, std::vector<Former>> former_;
   size_t size_ = 0;
   absl::Time complete_at_ = absl::InfiniteFuture();
--- a/lib/forwarding/former_services.cc
+++ b/lib/forwarding/former_services.cc
@@ -21,23 +21,32 @@
     return;
   }
   for (const auto& [address, route] : previous->routes) {
+    // A removed route may come back while its flows are open.
     const Route* present = next.Find(address);
-    // The flows of a dropped route end.
-    if (present == nullptr)
-      continue;
     for (const RouteShare& share : route.shares) {
-      if (Names(*present, share.service))
-        continue;
-      if (size_ >= kMaxServices) {
-        complete_at_ = std::max(complete_at_, now + kFlowLifetime);
-        return;
-      }
-      former_[address].push_back({share.service, now});
-      ++size_;
+      if (present == nullptr || !Names(*present, share.service))
+        Add(address, share.service, now);
     }
   }
 }
 
+void FormerServices::Add(Endpoint address, ServiceUid service, absl::Time now) {
+  std::vector<Former>& services = former_[address];
+  const auto known =
+      std::find_if(services.begin(), services.end(),
+                   [service](const Former& f) { return f.service == service; });
+  if (known != services.end()) {
+    known->dropped = now;
+  } else if (size_ < kMaxServices) {
+    services.push_back({service, now});
+    ++size_;
+  } else {
+    complete_at_ = std::max(complete_at_, now + kFlowLifetime);
+    if (services.empty())
+      former_.erase(address);
+  }
+}
+
 std::vector<ServiceUid> FormerServices::Find(Endpoint address,
                                              const Route& route,
                                              absl::Time now) const {
--- a/unittests/forwarding/former_services_test.cc
+++ b/unittests/forwarding/former_services_test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(StartedEntryResetsAFlowThatEveryAgentDenies);
   CPPUNIT_TEST(FormerServiceIsForgottenAfterTheLifetimeOfAFlow);
   CPPUNIT_TEST(TooManyChangesMakeTheFormerServicesUnknown);
+  CPPUNIT_TEST(FlowOfARemovedRouteIsFoundWhenTheRouteIsBack);
   CPPUNIT_TEST(FlowOfAnEndedShareIsFound);
   CPPUNIT_TEST(FlowIsFoundAfterTwoChanges);
   CPPUNIT_TEST(EntriesThatStopInTurnLeaveTheFlowOpen);
@@ -140,6 +141,21 @@
     CPPUNIT_ASSERT(services.IsComplete(later));
   }
 
+  // Guards against the reset of a flow that outlived the removal of its route.
+  void FlowOfARemovedRouteIsFoundWhenTheRouteIsBack() {
+    SetRoute(1, {{kOld, 1}});
+    Pass(FormerServices::kFlowLifetime);
+    SetRoute(2, {});
+    Pass(absl::Seconds(1));
+    SetRoute(3, {{kNew, 1}});
+    Pass(absl::Seconds(1));
+    CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{1, 2, 3, 4}));
+    Deny({2, 3, 4});
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    Deny({1});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, resets_);
+  }
+
   // Guards against the reset of flows of a canary that ends, whether its share
   // is 0 or left out, and begins again.
   void FlowOfAnEndedShareIsFound() {
