Do not rely on former services after a skipped version

An entry that gets two changes at once records the services of the versions it had, not those of a version between them, which another entry may have used to open flows. It took its record for complete and reset such a flow when the agents of the services it knew denied it. A gap in the version numbers now makes the record incomplete for the lifetime of a flow, as after a start.

--- a/include/skylarkshunt/forwarding/former_services.h
+++ b/include/skylarkshunt/forwarding/former_services.h
@@ -19,7 +19,8 @@
 class FormerServices {
  public:
   /// Records that `next` replaces `previous`, which is null for the first
-  /// configuration.
+  /// configuration. If versions between them are missing, IsComplete() is false
+  /// for kFlowLifetime.
   void Record(const RouteTable* previous,
               const RouteTable& next,
               absl::Time now);
--- a/lib/forwarding/former_services.cc
+++ b/lib/forwarding/former_services.cc
@@ -20,6 +20,9 @@
     complete_at_ = now + kFlowLifetime;
     return;
   }
+  // Another entry may have used the versions between them.
+  if (next.version > previous->version + 1)
+    complete_at_ = std::max(complete_at_, now + kFlowLifetime);
   for (const auto& [address, route] : previous->routes) {
     // A removed route may come back while its flows are open.
     const Route* present = next.Find(address);
--- a/unittests/forwarding/former_services_test.cc
+++ b/unittests/forwarding/former_services_test.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(FlowOfARemovedRouteIsFoundWhenTheRouteIsBack);
   CPPUNIT_TEST(FlowOfAnEndedShareIsFound);
   CPPUNIT_TEST(FlowIsFoundAfterTwoChanges);
+  CPPUNIT_TEST(ServiceOfASkippedVersionIsQueried);
   CPPUNIT_TEST(EntriesThatStopInTurnLeaveTheFlowOpen);
   CPPUNIT_TEST(RestartedAgentOfAFormerServiceIsAwaited);
   CPPUNIT_TEST(FullTableLeavesFlowsOpen);
@@ -189,6 +190,26 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
   }
 
+  // Two changes follow so closely that the entry gets the last one only. Guards
+  // against the reset of a flow that another entry opened between them.
+  void ServiceOfASkippedVersionIsQueried() {
+    SetRoute(1, {{kOld, 1}});
+    Pass(FormerServices::kFlowLifetime);
+    SetRoute(3, {{kOld, 1}});
+    Pass(FormerServices::kFlowLifetime - absl::Seconds(1));
+    Search();
+    Deny({1, 2});
+    CPPUNIT_ASSERT(only_known_ == std::vector<uint64_t>({3, 4}));
+    Deny({4});
+    // Agent 3 was restarted beside its target and cannot tell.
+    for (int i = 0; i < 2; ++i) {
+      Pass(absl::Milliseconds(400));
+      Search();
+      Deny({1, 2, 4});
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    }
+  }
+
   // Guards against a reset by the third entry that a flow passes through. The
   // first one has stopped, the second one has had both versions, and the third
   // one starts when the second one stops.
