Ask agents of all services before a flow is reset

An entry that does not have the newest version yet may get packets of a flow that another entry opened by it, for example when that entry stops. It asked only the agents of the services that it knows for the route, took their denials for proof and reset the flow. Once all of them deny a flow, the entry now asks the agents of the other services for what they know. One that holds so recent a flow answers at once, so that the reset waits 60 ms for those that cannot tell, not longer. Searches that are not answered still query the agents of the route and of its former services only.

FlowOfANewerVersionIsFound and UnclearAgentOfAnotherServiceDelaysTheResetOnly failed before with both kinds of search.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -156,7 +156,7 @@
   enum class SearchStage : uint8_t {
     kCandidates,     ///< The candidates of the flow.
     kAllAgents,      ///< All agents of the services that may hold the flow.
-    kOtherServices,  ///< All agents, while these services are not known.
+    kOtherServices,  ///< All agents, before a reset.
   };
   /// State of a search for the agent that holds a flow.
   struct Search {
@@ -225,7 +225,10 @@
                   absl::Time now,
                   EntryActions& actions);
   /// Moves the search to its next stage. Returns false if there is none.
-  bool WidenSearch(Search& search, absl::Time now) const;
+  static bool WidenSearch(Search& search, absl::Time now);
+  /// Moves a search that is not answered to its next stage. Agents of services
+  /// that the route never named are queried only if all others deny the flow.
+  void WidenUnanswered(Search& search, absl::Time now) const;
   /// Sends `packet` to the agents of the current stage of the search.
   void SendSearch(Search& search,
                   const Route& route,
@@ -233,12 +236,17 @@
                   absl::Span<const uint8_t> packet,
                   absl::Time now,
                   EntryActions& actions);
-  /// Sends `message` to the agents in `queried_`.
+  /// Sends `message` to the agents in `queried_`. Unless `must_answer`, the
+  /// search does not wait for them.
   void QueryAgents(Search& search,
                    const FlowId& flow,
                    const ForwardedPacket& message,
+                   bool must_answer,
                    absl::Time now,
                    EntryActions& actions);
+  /// Whether a reset needs the answers of the agents of services that the route
+  /// never named.
+  bool MustOthersAnswer(const Search& search, absl::Time now) const;
   /// Whether targets without state for the flow must not get its packets, since
   /// the agent that holds it may be missing.
   bool IsHolderMissing(absl::Span<const ServiceUid> services,
@@ -305,6 +313,13 @@
   void RefuseWithoutConfiguration(const PacketHeader& header,
                                   absl::Time now,
                                   EntryActions& actions);
+  /// Ends the search and resets the flow if it is proven that no agent holds
+  /// it. Precondition: there is a search for it.
+  bool ResetIfHeldNowhere(const Route& route,
+                          const FlowId& flow,
+                          const PacketHeader& header,
+                          absl::Time now,
+                          EntryActions& actions);
   /// Resets the flow of a packet without a route, unless another entry may have
   /// opened it.
   void RefuseWithoutRoute(const PacketHeader& header,
--- a/lib/forwarding/entry_queries.cc
+++ b/lib/forwarding/entry_queries.cc
@@ -134,11 +134,18 @@
     Search& search = found->second;
     search.next_round = absl::InfiniteFuture();
     const Route* route = routes_->Find(flow.service);
-    if (route == nullptr || search.rounds >= kMaxRounds)
+    if (route == nullptr)
+      continue;
+    if (!MustOthersAnswer(search, now)) {
+      const PacketHeader header = search.header;
+      if (ResetIfHeldNowhere(*route, flow, header, now, actions))
+        continue;
+    }
+    if (search.rounds >= kMaxRounds)
       continue;
     // The candidates do not hold the flow, or one of them is unresponsive.
     if (search.rounds > 0)
-      WidenSearch(search, now);
+      WidenUnanswered(search, now);
     StartQueryRound(search, *route, flow, now, actions);
   }
 }
--- a/lib/forwarding/entry_search.cc
+++ b/lib/forwarding/entry_search.cc
@@ -15,8 +15,12 @@
 /// Time for the candidates of a flow to answer a search. The next packet after
 /// it is sent to all agents.
 constexpr absl::Duration kCandidatesAnswerTime = absl::Milliseconds(60);
+/// Time for the agents of services that the route never named to answer a
+/// search, if the former services are known.
+constexpr absl::Duration kOthersAnswerTime = absl::Milliseconds(60);
 /// Maximum number of agents of services that the route does not name. In larger
-/// fleets an entry resets no flow before it knows the former services.
+/// fleets an entry resets no flow before it knows the former services, and then
+/// does not query the other agents.
 constexpr size_t kMaxOtherAgents = 512;
 
 bool Contains(absl::Span<const ServiceUid> services, ServiceUid service) {
@@ -39,12 +43,15 @@
   if (found != searches_.end()) {
     // The queried agents do not hold the flow, or one of them is unresponsive.
     if (now - found->second.stage_began > kCandidatesAnswerTime)
-      WidenSearch(found->second, now);
+      WidenUnanswered(found->second, now);
     // All agents have answered an earlier packet, but their answers did not
-    // prove that no agent holds the flow.
-    if (found->second.awaited.empty()) {
+    // prove that no agent holds the flow, or those that have not need not do
+    // so.
+    if (found->second.awaited.empty() ||
+        !MustOthersAnswer(found->second, now)) {
       found->second.queried.clear();
       found->second.denied.clear();
+      found->second.awaited.clear();
     }
     SendSearch(found->second, route, flow, packet, now, actions);
     return;
@@ -63,12 +70,16 @@
   SendSearch(search, route, flow, packet, now, actions);
 }
 
-bool EntryForwarder::WidenSearch(Search& search, absl::Time now) const {
-  if (search.stage == SearchStage::kOtherServices ||
-      (search.stage == SearchStage::kAllAgents &&
-       former_services_.IsComplete(now))) {
-    return false;
+void EntryForwarder::WidenUnanswered(Search& search, absl::Time now) const {
+  if (search.stage == SearchStage::kCandidates ||
+      !former_services_.IsComplete(now)) {
+    WidenSearch(search, now);
   }
+}
+
+bool EntryForwarder::WidenSearch(Search& search, absl::Time now) {
+  if (search.stage == SearchStage::kOtherServices)
+    return false;
   search.stage = search.stage == SearchStage::kCandidates
                      ? SearchStage::kAllAgents
                      : SearchStage::kOtherServices;
@@ -100,7 +111,7 @@
       queried_.assign(agents.begin(), agents.end());
     }
     message.service = service;
-    QueryAgents(search, flow, message, now, actions);
+    QueryAgents(search, flow, message, true, now, actions);
   }
   if (search.stage != SearchStage::kOtherServices)
     return;
@@ -112,10 +123,18 @@
         agents_.AgentsOfService(service);
     queried_.assign(agents.begin(), agents.end());
     message.service = service;
-    QueryAgents(search, flow, message, now, actions);
+    QueryAgents(search, flow, message, MustOthersAnswer(search, now), now,
+                actions);
   }
 }
 
+bool EntryForwarder::MustOthersAnswer(const Search& search,
+                                      absl::Time now) const {
+  return search.stage != SearchStage::kOtherServices ||
+         !former_services_.IsComplete(now) ||
+         now - search.stage_began <= kOthersAnswerTime;
+}
+
 bool EntryForwarder::IsHolderMissing(absl::Span<const ServiceUid> services,
                                      absl::Time now) const {
   return std::any_of(services.begin(), services.end(),
@@ -143,6 +162,7 @@
 void EntryForwarder::QueryAgents(Search& search,
                                  const FlowId& flow,
                                  const ForwardedPacket& message,
+                                 bool must_answer,
                                  absl::Time now,
                                  EntryActions& actions) {
   // A target may have started beside an agent since its last message, so agents
@@ -158,7 +178,8 @@
     // all agents, nor for an agent that ended without target.
     const bool may_hold = search.stage != SearchStage::kCandidates &&
                           agent->load.state != InstanceState::kDown;
-    const bool expected = may_hold || IsResponsive(*agent, now);
+    const bool expected =
+        must_answer && (may_hold || IsResponsive(*agent, now));
     if (search.queried.insert(agent->identity.uid).second && expected)
       search.awaited.insert(agent->identity.uid);
   }
@@ -185,23 +206,34 @@
     if (search.queried.size() > queried)
       return;
   }
+  ResetIfHeldNowhere(route, flow, header, now, actions);
+}
+
+bool EntryForwarder::ResetIfHeldNowhere(const Route& route,
+                                        const FlowId& flow,
+                                        const PacketHeader& header,
+                                        absl::Time now,
+                                        EntryActions& actions) {
+  const auto found = searches_.find(flow);
+  const Search& search = found->second;
   const std::vector<ServiceUid> services =
       former_services_.Find(flow.service, route, now);
   if (!IsHeldNowhere(search, services, now))
-    return;
+    return false;
   const SearchEvidence evidence = EvidenceOfSearch(search, services, now);
   for (const std::vector<uint8_t>& held : search.held)
     held_bytes_ -= held.size();
   searches_.erase(found);
   ++search_counts_.held_nowhere;
   if (header.reset)
-    return;
+    return true;
   actions.resets.push_back({flow, header.acknowledged});
   Decision decision =
       MakeDecision(DecisionKind::kFlowReset, flow, "no_target_holds_it");
   decision.sequence = header.acknowledged;
   decision.evidence = evidence;
   actions.decisions.push_back(decision);
+  return true;
 }
 
 SearchEvidence EntryForwarder::EvidenceOfSearch(
@@ -229,12 +261,30 @@
   };
   if (!std::all_of(services.begin(), services.end(), is_denied))
     return false;
-  if (former_services_.IsComplete(now))
-    return true;
+  if (search.stage != SearchStage::kOtherServices)
+    return false;
   // A configuration that this entry has never had may have named any service.
-  const std::vector<ServiceUid> known = agents_.Services();
-  return search.stage == SearchStage::kOtherServices &&
-         std::all_of(known.begin(), known.end(), is_denied);
+  if (!former_services_.IsComplete(now)) {
+    const std::vector<ServiceUid> known = agents_.Services();
+    return std::all_of(known.begin(), known.end(), is_denied);
+  }
+  // Another entry may have opened the flow by a version that has not come here
+  // yet. Its agent knows so recent a flow and answers at once, so that agents
+  // which cannot tell need not be awaited.
+  if (!MustOthersAnswer(search, now))
+    return true;
+  const std::vector<ServiceUid> others = OtherServices(services);
+  return std::all_of(
+      others.begin(), others.end(), [this, &search, now](ServiceUid service) {
+        const absl::Span<AgentView* const> agents =
+            agents_.AgentsOfService(service);
+        return std::all_of(agents.begin(), agents.end(),
+                           [&search, now](const AgentView* a) {
+                             return search.denied.contains(a->identity.uid) ||
+                                    (a->load.state == InstanceState::kDown &&
+                                     !IsResponsive(*a, now));
+                           });
+      });
 }
 
 bool EntryForwarder::IsDeniedBy(const Search& search,
--- a/unittests/forwarding/former_services_test.cc
+++ b/unittests/forwarding/former_services_test.cc
@@ -54,6 +54,8 @@
   CPPUNIT_TEST(FlowOfAnEndedShareIsFound);
   CPPUNIT_TEST(FlowIsFoundAfterTwoChanges);
   CPPUNIT_TEST(ServiceOfASkippedVersionIsQueried);
+  CPPUNIT_TEST(FlowOfANewerVersionIsFound);
+  CPPUNIT_TEST(UnclearAgentOfAnotherServiceDelaysTheResetOnly);
   CPPUNIT_TEST(EntriesThatStopInTurnLeaveTheFlowOpen);
   CPPUNIT_TEST(RestartedAgentOfAFormerServiceIsAwaited);
   CPPUNIT_TEST(FullTableLeavesFlowsOpen);
@@ -118,7 +120,11 @@
     SetRoute(2, {{kNew, 1}});
     Pass(FormerServices::kFlowLifetime);
     CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{3, 4}));
+    // The other agents are only asked for what they know, before the reset.
     Deny({3, 4});
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    CPPUNIT_ASSERT(only_known_ == std::vector<uint64_t>({1, 2}));
+    Deny({1, 2});
     CPPUNIT_ASSERT_EQUAL(size_t{1}, resets_);
   }
 
@@ -210,6 +216,36 @@
     }
   }
 
+  // The entry that opened the flow had a version that this one does not have
+  // yet, and is stopped. Guards against a reset because the agents of the older
+  // version deny the flow.
+  void FlowOfANewerVersionIsFound() {
+    SetRoute(1, {{kOld, 1}});
+    Pass(FormerServices::kFlowLifetime);
+    CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{1, 2}));
+    Deny({1, 2});
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    CPPUNIT_ASSERT(only_known_ == std::vector<uint64_t>({3, 4}));
+    Deny({4});
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    Place(3);
+    CPPUNIT_ASSERT((Search() == std::vector<uint64_t>{3}));
+  }
+
+  // Guards against clients that wait in vain because an agent of a service that
+  // their route never named was restarted beside its target.
+  void UnclearAgentOfAnotherServiceDelaysTheResetOnly() {
+    SetRoute(1, {{kOld, 1}});
+    Pass(FormerServices::kFlowLifetime);
+    Search();
+    Deny({1, 2, 4});
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    Pass(absl::Milliseconds(200));
+    Search();
+    Deny({1, 2});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, resets_);
+  }
+
   // Guards against a reset by the third entry that a flow passes through. The
   // first one has stopped, the second one has had both versions, and the third
   // one starts when the second one stops.
