Spare new flows at an entry that has only the removal of their route

A route is removed and added again, and an entry that has only the removal gets packets of a flow that another entry opened by the newer version. It took its own removal for proof that the flow had ended and reset it, and it refused an opening packet although another entry may have received the copy before it. Such an entry now resets at once only flows that it has in its cache, which were opened before the removal. An unknown flow is reset if its packets still come 4 s after the first one, since a newer version comes within 3 s. An opening packet without a route is refused if no other entry can have received a copy, as for routes that never were.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -325,6 +325,10 @@
   void RefuseWithoutRoute(const PacketHeader& header,
                           absl::Time now,
                           EntryActions& actions);
+  /// Whether a flow without a route may be open by a configuration that this
+  /// entry has never had. Records the first packet of a flow that is not
+  /// cached.
+  bool MayBeOpenElsewhere(const FlowId& flow, absl::Time now);
   void Refuse(const FlowId& flow,
               uint32_t sequence,
               absl::string_view reason,
@@ -384,6 +388,9 @@
   FormerServices former_services_;
   /// Addresses without a route that had one in an earlier configuration.
   absl::flat_hash_set<Endpoint> dropped_routes_;
+  /// Time of the first packet since the last configuration of flows that are
+  /// not cached and have no route any more.
+  absl::flat_hash_map<FlowId, absl::Time> unrouted_;
   /// Timed-out packets that Tick() sent to another agent. Actions point to
   /// their bytes.
   std::vector<UnansweredOpenings::Opening> timed_out_;
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -22,6 +22,14 @@
 /// Maximum number of recorded addresses whose route a configuration dropped.
 /// Packets of the flows of further ones are dropped instead of reset.
 constexpr size_t kMaxDroppedRoutes = 16'384;
+/// Maximum number of flows without a route whose first packet is recorded.
+/// Packets of further ones are dropped instead of reset.
+constexpr size_t kMaxUnroutedFlows = 4'096;
+/// Time by which all entries use a version that one of them uses. The bound of
+/// the deployments is 3 s.
+constexpr absl::Duration kVersionSpread = absl::Seconds(4);
+/// Time for which a flow without a route is recorded.
+constexpr absl::Duration kUnroutedLifetime = absl::Seconds(30);
 /// Time since an agent's last message after which a retransmitted opening
 /// packet goes to another agent, as a share of `suspect_timeout`. It is below 1
 /// because the retransmission itself is evidence that the agent is
@@ -64,6 +72,7 @@
   absl::erase_if(dropped_routes_, [&routes](const Endpoint& address) {
     return routes->Find(address) != nullptr;
   });
+  unrouted_.clear();
   routes_ = std::move(routes);
   return change;
 }
@@ -406,18 +415,32 @@
   const FlowId flow = header.flow_from_client();
   // Another entry may have adopted a configuration with this route and opened
   // the flow.
-  const bool may_be_open =
-      !dropped_routes_.contains(header.destination) &&
-      (!header.opening || copies_.MayHaveMissedOne(flow, now));
+  const bool may_be_open = header.opening ? copies_.MayHaveMissedOne(flow, now)
+                                          : MayBeOpenElsewhere(flow, now);
   if (may_be_open) {
     RecordDeferred(flow, "no_route", now, actions);
     return;
   }
   flows_.erase(flow);
+  unrouted_.erase(flow);
   if (!header.reset)
     Refuse(flow, header.acknowledged, "no_route", now, actions);
 }
 
+bool EntryForwarder::MayBeOpenElsewhere(const FlowId& flow, absl::Time now) {
+  if (!dropped_routes_.contains(flow.service))
+    return true;
+  // The flow was opened before the route was dropped.
+  if (flows_.contains(flow))
+    return false;
+  const auto unrouted = unrouted_.find(flow);
+  if (unrouted != unrouted_.end())
+    return now - unrouted->second < kVersionSpread;
+  if (unrouted_.size() < kMaxUnroutedFlows)
+    unrouted_[flow] = now;
+  return true;
+}
+
 void EntryForwarder::Refuse(const FlowId& flow,
                             uint32_t sequence,
                             absl::string_view reason,
@@ -515,6 +538,9 @@
   retries_.Expire(now);
   copies_.Expire(now);
   former_services_.Expire(now);
+  absl::erase_if(unrouted_, [now](const auto& flow) {
+    return now - flow.second > kUnroutedLifetime;
+  });
   const size_t searches = searches_.size();
   absl::erase_if(searches_, [this, now](const auto& search) {
     if (now - search.second.started <= kSearchLifetime)
--- a/unittests/forwarding/former_services_test.cc
+++ b/unittests/forwarding/former_services_test.cc
@@ -59,6 +59,8 @@
   CPPUNIT_TEST(EntriesThatStopInTurnLeaveTheFlowOpen);
   CPPUNIT_TEST(RestartedAgentOfAFormerServiceIsAwaited);
   CPPUNIT_TEST(FullTableLeavesFlowsOpen);
+  CPPUNIT_TEST(EntryThatHasOnlyTheRemovalSparesNewFlows);
+  CPPUNIT_TEST(CopyAtAnEntryThatHasOnlyTheRemovalIsNotRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -312,6 +314,37 @@
     CPPUNIT_ASSERT((queried_ == std::vector<uint64_t>{1, 2, 3, 4, 5}));
   }
 
+  // Another entry has the version with which the route is back, and opened the
+  // flow. Guards against its reset by an entry that has only the removal, and
+  // against clients of the removed route that wait for ever.
+  void EntryThatHasOnlyTheRemovalSparesNewFlows() {
+    SetRoute(1, {{kOld, 1}});
+    Pass(FormerServices::kFlowLifetime);
+    SetRoute(2, {});
+    Search();
+    Pass(absl::Seconds(2));
+    Search();
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    // A newer version would have come by now.
+    Pass(absl::Seconds(3));
+    Search();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, resets_);
+  }
+
+  // The first copy of an opening packet went through an entry with the version
+  // in which the route is back. Guards against a reset because of the second
+  // one.
+  void CopyAtAnEntryThatHasOnlyTheRemovalIsNotRefused() {
+    SetRoute(1, {{kOld, 1}});
+    SetRoute(2, {});
+    Pass(absl::Seconds(1));
+    Client(flow_.Opening(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, resets_);
+    // Nobody else can have got the first copy of another flow.
+    Client(FlowPackets(2000).Opening());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, resets_);
+  }
+
  protected:
   /// Rate of the entry's link, in bytes per second; 0 if unknown.
   virtual uint64_t link_rate() const { return 0; }
--- a/unittests/forwarding/reset_proof_test.cc
+++ b/unittests/forwarding/reset_proof_test.cc
@@ -297,7 +297,15 @@
   void FlowOfADroppedRouteIsReset() {
     TestEntry entry;
     entry.ReportAll(LoadOf(0));
+    const FlowPackets cached(2);
+    entry.Placed(entry.Client(cached.Opening()), cached);
     entry.forwarder().SetRoutes(RoutesOf(2, false), kStart);
+    entry.Client(cached.Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, entry.resets());
+    // Another entry may have a version in which the route is back.
+    entry.Client(FlowPackets(1).Request());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, entry.resets());
+    entry.Pass(absl::Seconds(5));
     entry.Client(FlowPackets(1).Request());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, entry.resets());
     entry.forwarder().SetRoutes(RoutesOf(3, true), kStart);
