Spare young flows at an entry that catches up with a removal

An entry that is late by two versions opens a flow after a version was confirmed in which the route is back, and then applies the removal before that version. It reset the flow, since it had it in its cache. Only flows that the entry has had for 4 s are reset at once now; packets of younger ones are dropped until then.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -147,6 +147,8 @@
   struct CachedFlow {
     InstanceUid agent{};
     absl::Time used;
+    /// When this entry got the opening packet or found the agent.
+    absl::Time since;
     Attempt attempt;
     /// The agent got a packet other than an opening packet, or answered a
     /// search for the flow.
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -140,6 +140,7 @@
             kRetransmissionSuspectShare * agent->suspect_timeout &&
         agent->identity.service == message.service) {
       cached->second.used = now;
+      cached->second.since = now;
       // The packet may open a new flow with the addresses and ports of an
       // earlier one.
       cached->second.established = false;
@@ -430,9 +431,11 @@
 bool EntryForwarder::MayBeOpenElsewhere(const FlowId& flow, absl::Time now) {
   if (!dropped_routes_.contains(flow.service))
     return true;
-  // The flow was opened before the route was dropped.
-  if (flows_.contains(flow))
-    return false;
+  // The flow was opened before the route was dropped here. If a newer version
+  // had the route already, that version comes soon after the flow.
+  const auto cached = flows_.find(flow);
+  if (cached != flows_.end())
+    return now - cached->second.since < kVersionSpread;
   const auto unrouted = unrouted_.find(flow);
   if (unrouted != unrouted_.end())
     return now - unrouted->second < kVersionSpread;
@@ -511,9 +514,11 @@
   if (flows_.size() >= kMaxCachedFlows && !flows_.contains(flow))
     return nullptr;
   CachedFlow& cached =
-      flows_.try_emplace(flow, CachedFlow{agent, now, {now, 0}}).first->second;
+      flows_.try_emplace(flow, CachedFlow{agent, now, now, {now, 0}})
+          .first->second;
   cached.agent = agent;
   cached.used = now;
+  cached.since = now;
   cached.established = false;
   return &cached;
 }
--- a/unittests/forwarding/entry_forwarder_test.cc
+++ b/unittests/forwarding/entry_forwarder_test.cc
@@ -198,6 +198,11 @@
     auto without = std::make_shared<RouteTable>();
     without->version = 2;
     entry_.SetRoutes(without, kStart);
+    // The flow is so young that its client may know of a newer version.
+    Client(flow.Request());
+    CPPUNIT_ASSERT(actions_.to_agents.empty());
+    CPPUNIT_ASSERT(actions_.resets.empty());
+    now_ += absl::Seconds(4);
     Client(flow.Request());
     CPPUNIT_ASSERT(actions_.to_agents.empty());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.resets.size());
