Send no new flow to an evacuated data centre

Cause: an operator must be able to take the targets of a data centre out of placement by an object of the store, within bounds.evacuate-ms.

Change: an entry follows the objects evacuations/NAME in a thread of its own (EvacuationFollower), passes the set to its data thread, and placement skips the agents in these data centres. Entries report the set to each other (EvacuationReport, type 9) for the time in which their own reads fail. An entry that starts defers opening packets until it knows the set, 2 s at most. StoreCallLog holds what both followers record of their calls.

--- a/include/skylarkshunt/forwarding/agent_directory.h
+++ b/include/skylarkshunt/forwarding/agent_directory.h
@@ -160,6 +160,8 @@
   /// Breaks ties. The same for all retransmissions of the packet.
   uint64_t flow_hash = 0;
   absl::Span<const InstanceUid> declined;
+  /// Data centres whose agents get no new flow, as in AgentIdentity; sorted.
+  absl::Span<const uint32_t> evacuated;
 };
 
 /// Destination of a new flow.
--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -4,12 +4,14 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "absl/container/inlined_vector.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "absl/types/span.h"
 #include "skylarkshunt/forwarding/agent_directory.h"
 #include "skylarkshunt/forwarding/decision.h"
@@ -101,6 +103,19 @@
                         absl::Time now);
   const RouteTable* routes() const { return routes_.get(); }
 
+  /// Defers opening packets until the evacuated data centres are known, but not
+  /// beyond `limit`.
+  void AwaitEvacuated(absl::Time limit) { evacuated_limit_ = limit; }
+  /// Sets the data centres whose agents get no new flow, as in AgentIdentity.
+  /// Open flows stay. Precondition: `data_centres` is sorted.
+  void SetEvacuated(std::vector<uint32_t> data_centres) {
+    evacuated_ = std::move(data_centres);
+    evacuated_limit_ = absl::InfinitePast();
+  }
+
+  /// Whether the agent's data centre is evacuated.
+  bool IsEvacuated(const AgentView& agent) const;
+
   AgentDirectory& agents() { return agents_; }
   /// Refusals by this entry and by others of its data centre.
   RetryHistory& retries() { return retries_; }
@@ -153,6 +168,9 @@
     /// The agent got a packet other than an opening packet, or answered a
     /// search for the flow.
     bool established = false;
+    /// Sequence of the opening packet that the agent got from this entry. No
+    /// value if another entry placed the flow.
+    absl::optional<uint32_t> opening_sequence;
   };
   /// Which agents a search queries. Each stage includes the ones before.
   enum class SearchStage : uint8_t {
@@ -194,6 +212,10 @@
             absl::Span<const uint8_t> packet,
             absl::Time now,
             EntryActions& actions);
+  /// Whether the opening packet in `header` opens another flow than the cached
+  /// one with the same addresses and ports, so that the cached agent cannot
+  /// have accepted a copy of it.
+  static bool IsNewFlow(const CachedFlow& cached, const PacketHeader& header);
   /// Returns false if it refused the client.
   bool Place(const FlowId& flow,
              ForwardedPacket message,
@@ -372,6 +394,9 @@
   /// Use of `routes_` since it came into force.
   RouteUse route_use_;
   AgentDirectory agents_;
+  std::vector<uint32_t> evacuated_;
+  /// Until then, opening packets are deferred.
+  absl::Time evacuated_limit_ = absl::InfinitePast();
   RetryHistory retries_;
   absl::flat_hash_map<FlowId, CachedFlow> flows_;
   absl::flat_hash_map<FlowId, Search> searches_;
--- /dev/null
+++ b/include/skylarkshunt/forwarding/evacuations.h
@@ -0,0 +1,104 @@
+#ifndef SKYLARKSHUNT_FORWARDING_EVACUATIONS_H_
+#define SKYLARKSHUNT_FORWARDING_EVACUATIONS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/string_view.h"
+#include "absl/types/optional.h"
+#include "absl/types/span.h"
+#include "skylarkshunt/configuration/config_record.h"
+#include "skylarkshunt/forwarding/messages.h"
+
+namespace skylarkshunt {
+
+/// The objects of the store that each evacuate the data centre of their name.
+/// Only the names count: a request to evacuate must not fail because of a body
+/// that nobody reads. Pure and not thread-safe.
+class EvacuationObjects {
+ public:
+  /// Records that were not used.
+  struct Ignored {
+    size_t count = 0;
+    /// Beginning of the key of the first one, and what is wrong with it.
+    std::string first;
+    absl::string_view reason;
+  };
+
+  /// `prefix` is the common beginning of the objects' keys.
+  explicit EvacuationObjects(absl::string_view prefix) : prefix_(prefix) {}
+
+  /// Replaces the objects by those of a list. Records with unexpected names,
+  /// and those beyond kMaxObjects, are ignored.
+  Ignored Replace(absl::Span<const ConfigRecord> listed);
+  /// Applies the changes of a watch in their order.
+  Ignored Apply(absl::Span<const ConfigRecord> changes);
+  /// Whether there is room again for objects that were ignored beyond
+  /// kMaxObjects, so that a list is needed.
+  bool needs_list() const {
+    return is_truncated_ && objects_.size() < kMaxObjects;
+  }
+
+  /// Returns the data centres as in EvacuationSet.
+  std::vector<uint32_t> DataCentres() const;
+
+  /// Maximum number of objects. Most name no data centre of the deployment if
+  /// there are this many, since a deployment has a few. Further ones have no
+  /// effect until others are removed.
+  static constexpr size_t kMaxObjects = 4'096;
+
+ private:
+  const std::string prefix_;
+  /// StableHash() of the names.
+  absl::flat_hash_set<uint64_t> objects_;
+  bool is_truncated_ = false;
+};
+
+/// Decides which data centres an entry sends no new flow to. What the entry
+/// itself reads from the store counts. While its reads fail, the set of another
+/// entry counts if its revision is higher. Pure and not thread-safe.
+class EvacuationState {
+ public:
+  /// Records a successful read, which found `set`. Returns whether the data
+  /// centres in force changed or became known. So do the next two.
+  bool OnStoreAnswered(EvacuationSet set);
+  /// Records that a read failed. The last set remains in force unless another
+  /// entry has reported a newer one since the last successful read.
+  bool OnStoreFailed();
+  /// Records the set of another entry. Revision 0 means that it has none.
+  bool OnPeerSet(EvacuationSet set);
+
+  /// Whether any set is known. An entry knows none before its first read.
+  bool is_known() const { return is_known_; }
+  bool is_store_answering() const { return is_store_answering_; }
+  const EvacuationSet& in_force() const { return in_force_; }
+
+  /// Returns a report of the set in force for other entries. If it exceeds
+  /// kMaxReportedEvacuations, the data centres in `known` are preferred.
+  EvacuationReport MakeReport(absl::Span<const uint32_t> known) const;
+  /// Returns the entries among `present` that get the next regular report: at
+  /// most kMaxReceivers, in turn.
+  std::vector<uint32_t> NextReceivers(std::vector<uint32_t> present);
+
+  /// Maximum number of entries that get a regular report, of which there is one
+  /// in a second. A report has 50 bytes, so that they take 1.2 KB/s.
+  static constexpr size_t kMaxReceivers = 24;
+
+ private:
+  bool Adopt(EvacuationSet set);
+
+  EvacuationSet in_force_;
+  bool is_known_ = false;
+  bool is_store_answering_ = false;
+  /// The newest set that another entry reported since the last successful read.
+  absl::optional<EvacuationSet> peer_set_;
+  /// Address after which the next regular report continues.
+  uint32_t turn_ = 0;
+};
+
+}  // namespace skylarkshunt
+
+#endif  // SKYLARKSHUNT_FORWARDING_EVACUATIONS_H_
--- a/include/skylarkshunt/forwarding/messages.h
+++ b/include/skylarkshunt/forwarding/messages.h
@@ -194,6 +194,28 @@
   Outcome outcome = Outcome::kUnclear;
 };
 
+/// Data centres whose targets get no new flow, as the store had it at a
+/// revision.
+struct EvacuationSet {
+  Revision revision{};
+  /// StableHash() of the names of the data centres, as in AgentIdentity; sorted
+  /// and unique.
+  std::vector<uint32_t> data_centres;
+};
+
+/// Maximum number of data centres in an EvacuationReport, 4 bytes each in a
+/// datagram of at most 1,200 bytes. Further ones are not reported.
+inline constexpr size_t kMaxReportedEvacuations = 240;
+
+/// Notifies another entry of the evacuated data centres, in case its own reads
+/// of the store fail.
+struct EvacuationReport {
+  /// Revision 0 if the sender knows no set.
+  EvacuationSet set;
+  /// The sender knows no set and asks for that of the receiver.
+  bool wants_reply = false;
+};
+
 /// Any message between nodes.
 using NodeMessage = std::variant<AgentReport,
                                  EntryReport,
@@ -202,7 +224,8 @@
                                  FlowPlaced,
                                  RefusalReport,
                                  FlowQuery,
-                                 QueryAnswer>;
+                                 QueryAnswer,
+                                 EvacuationReport>;
 
 }  // namespace skylarkshunt
 
--- a/include/skylarkshunt/node/node_options.h
+++ b/include/skylarkshunt/node/node_options.h
@@ -52,6 +52,9 @@
   /// Time within which a change of the configuration must be in force, also
   /// after the store was unavailable.
   absl::Duration change_limit = absl::Seconds(3);
+  /// Time after the store's confirmation from which no new flow may reach a
+  /// target in an evacuated data centre; zero if evacuations are not used.
+  absl::Duration evacuation_limit = absl::ZeroDuration();
   /// Time between two reports of a target.
   absl::Duration target_report_interval = absl::Milliseconds(1200);
   /// Rate of the instance's link, in bytes per second; 0 if unknown.
@@ -82,6 +85,9 @@
   std::shared_ptr<const PacketFormat> packets;
   /// Key of the configuration in the object store.
   std::string configuration_key;
+  /// Beginning of the keys of the objects that evacuate a data centre; the rest
+  /// is its name.
+  std::string evacuation_prefix;
   std::function<Result<RouteTable>(absl::string_view)> read_configuration;
   std::function<HttpServer::Handler(const NodeHooks&)> readiness;
   std::function<HttpServer::Handler(const NodeHooks&)> target_reports;
--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -107,7 +107,9 @@
                  absl::Time now) {
   return agent.load.accepts_flows() && IsResponsive(agent, now) &&
          std::find(request.declined.begin(), request.declined.end(),
-                   agent.identity.uid) == request.declined.end();
+                   agent.identity.uid) == request.declined.end() &&
+         !std::binary_search(request.evacuated.begin(), request.evacuated.end(),
+                             agent.identity.data_centre);
 }
 
 /// Returns the median of the failing shares. Fewer than half of the targets can
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -135,20 +135,30 @@
   const auto cached = flows_.find(flow);
   if (cached != flows_.end()) {
     AgentView* agent = agents_.Find(cached->second.agent);
+    // A retransmission stays, since the agent may have accepted a copy.
+    const bool must_move = agent != nullptr && IsEvacuated(*agent) &&
+                           IsNewFlow(cached->second, header);
     if (agent != nullptr && IsResponsive(*agent, now) &&
         now - agent->last_seen <
             kRetransmissionSuspectShare * agent->suspect_timeout &&
-        agent->identity.service == message.service) {
+        agent->identity.service == message.service && !must_move) {
       cached->second.used = now;
       cached->second.since = now;
       // The packet may open a new flow with the addresses and ports of an
       // earlier one.
       cached->second.established = false;
+      cached->second.opening_sequence = header.sequence;
       actions.to_agents.push_back({agent->endpoint, message});
       return;
     }
-    message.declined.push_back(cached->second.agent);
-    copies_.RecordUnanswered(flow, cached->second.agent);
+    if (!must_move) {
+      message.declined.push_back(cached->second.agent);
+      copies_.RecordUnanswered(flow, cached->second.agent);
+    }
+  }
+  if (now < evacuated_limit_) {
+    RecordDeferred(flow, "evacuations_unknown", now, actions);
+    return;
   }
   if (agents_.AgentsOfService(message.service).empty() &&
       MaySucceedLater(header, now)) {
@@ -167,6 +177,19 @@
   ++route_use_.placements;
   route_use_.last_placement = now;
   placed->second.attempt = attempt;
+  placed->second.opening_sequence = header.sequence;
+}
+
+bool EntryForwarder::IsNewFlow(const CachedFlow& cached,
+                               const PacketHeader& header) {
+  return cached.opening_sequence.has_value()
+             ? *cached.opening_sequence != header.sequence
+             : header.opening_copy == 0;
+}
+
+bool EntryForwarder::IsEvacuated(const AgentView& agent) const {
+  return std::binary_search(evacuated_.begin(), evacuated_.end(),
+                            agent.identity.data_centre);
 }
 
 bool EntryForwarder::Place(const FlowId& flow,
@@ -191,6 +214,7 @@
   request.data_centre = data_centre_;
   request.flow_hash = StableFlowHash(flow);
   request.declined = message.declined;
+  request.evacuated = evacuated_;
   return request;
 }
 
@@ -273,7 +297,10 @@
   if (!placement.has_value() || message.declined.empty()) {
     if (DeferRefusal(flow, now, actions))
       return true;
-    Refuse(flow, 0, "no_agent", now, actions);
+    request.evacuated = {};
+    const bool evacuated = !evacuated_.empty() && !placement.has_value() &&
+                           PlaceFlow(agents_, request, now).has_value();
+    Refuse(flow, 0, evacuated ? "evacuated" : "no_agent", now, actions);
     return false;
   }
   Decision decision =
@@ -514,7 +541,8 @@
   if (flows_.size() >= kMaxCachedFlows && !flows_.contains(flow))
     return nullptr;
   CachedFlow& cached =
-      flows_.try_emplace(flow, CachedFlow{agent, now, now, {now, 0}})
+      flows_
+          .try_emplace(flow, CachedFlow{agent, now, now, {now, 0}, false, {}})
           .first->second;
   cached.agent = agent;
   cached.used = now;
--- a/lib/forwarding/node_codec.cc
+++ b/lib/forwarding/node_codec.cc
@@ -21,6 +21,7 @@
   /// Releases that do not know these types count them as malformed.
   kFlowQuery = 7,
   kQueryAnswer = 8,
+  kEvacuationReport = 9,
 };
 
 /// FlowQuery::acknowledges.
@@ -189,6 +190,16 @@
     Write(writer, answer.flow);
     writer.Choice(answer.outcome);
   }
+  void operator()(const EvacuationReport& report) const {
+    ByteWriter writer = Begin(out, Type::kEvacuationReport);
+    writer.Identity(report.set.revision);
+    writer.Number(static_cast<uint8_t>(report.wants_reply));
+    const size_t count =
+        std::min(report.set.data_centres.size(), kMaxReportedEvacuations);
+    writer.Number(static_cast<uint8_t>(count));
+    for (size_t i = 0; i < count; ++i)
+      writer.Number(report.set.data_centres[i]);
+  }
 };
 
 AgentReport ReadAgentReport(ByteReader& reader) {
@@ -276,6 +287,21 @@
   return answer;
 }
 
+EvacuationReport ReadEvacuationReport(ByteReader& reader) {
+  EvacuationReport report;
+  report.set.revision = reader.Identity<Revision>();
+  report.wants_reply = reader.Number<uint8_t>() != 0;
+  const size_t count = reader.Number<uint8_t>();
+  if (count > kMaxReportedEvacuations) {
+    reader.Fail();
+    return report;
+  }
+  report.set.data_centres.reserve(count);
+  for (size_t i = 0; i < count; ++i)
+    report.set.data_centres.push_back(reader.Number<uint32_t>());
+  return report;
+}
+
 RefusalReport ReadRefusalReport(ByteReader& reader) {
   RefusalReport report;
   report.data_centre = reader.Number<uint32_t>();
@@ -365,6 +391,9 @@
     case Type::kQueryAnswer:
       message = ReadQueryAnswer(reader);
       break;
+    case Type::kEvacuationReport:
+      message = ReadEvacuationReport(reader);
+      break;
     default:
       return Malformed("node message has an unknown type");
   }
--- a/lib/node/agent_loop.cc
+++ b/lib/node/agent_loop.cc
@@ -121,6 +121,8 @@
       if (first)
         loop.nodes_.MakeAllDue();
     }
+    // An agent places no flow.
+    void operator()(const EvacuationsRead&) const {}
     void operator()(const NodeAddress& node) const {
       loop.nodes_.Learn(node, now);
     }
@@ -191,6 +193,7 @@
     void operator()(const ReturnedPacket&) const {}
     void operator()(const FlowPlaced&) const {}
     void operator()(const RefusalReport&) const {}
+    void operator()(const EvacuationReport&) const {}
   };
 
   static AgentIdentity MakeIdentity(const Options& options) {
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -12,7 +12,6 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/synchronization/mutex.h"
-#include "latency_metric.h"
 #include "skylarkshunt/base/bounded_ring.h"
 #include "skylarkshunt/base/event.h"
 #include "skylarkshunt/documents/document_download.h"
@@ -24,23 +23,19 @@
 #include "skylarkshunt/process/backoff.h"
 #include "skylarkshunt/process/watch_position.h"
 #include "skylarkshunt/process/watch_schedule.h"
+#include "store_call_log.h"
 
 namespace skylarkshunt {
 namespace {
 
 constexpr EventId kConfigurationInForce{5151, "configuration_in_force"};
 constexpr EventId kConfigurationRejected{5152, "configuration_rejected"};
-constexpr EventId kStoreLost{5153, "store_lost"};
-constexpr EventId kStoreRegained{5154, "store_regained"};
-constexpr EventId kStoreHistoryGone{5155, "store_history_gone"};
 constexpr EventId kRegistered{5156, "node_registered"};
 constexpr EventId kPeerFetchFailed{5157, "configuration_fetch_failed"};
 constexpr EventId kNodeObjectsIgnored{5158, "node_objects_ignored"};
 constexpr EventId kPackingFailed{5159, "configuration_packing_failed"};
-constexpr EventId kObjectsIgnored{5160, "store_objects_ignored"};
 constexpr EventId kWatchAnswered{5161, "store_watch_answered"};
 constexpr EventId kRevisionOffered{5162, "configuration_offered"};
-constexpr EventId kCallSlow{5163, "store_call_slow"};
 constexpr EventId kValuesIgnored{5169, "configuration_values_ignored"};
 
 constexpr int kOk = 200;
@@ -63,12 +58,6 @@
 /// store may answer watches without the changes of about a second before it
 /// drops its history.
 constexpr absl::Duration kSettleTime = absl::Seconds(3);
-/// Least time between two log lines about objects that cannot be read, and
-/// between two about slow calls.
-constexpr absl::Duration kRepeatedLogInterval = absl::Seconds(10);
-/// Time to an answer, beyond the wait of a watch, from which a call counts as
-/// slow. A slow store answers within 250 ms.
-constexpr absl::Duration kSlowAnswerTime = absl::Milliseconds(500);
 constexpr absl::Duration kInitialRetryDelay = absl::Milliseconds(100);
 constexpr absl::Duration kMaxRetryDelay = absl::Seconds(1);
 /// Longest time between two attempts of an entry that has no configuration.
@@ -109,11 +98,6 @@
         store_(std::move(store)),
         watch_store_(std::move(watch)),
         initial_store_(std::move(first)),
-        calls_(options.counters->Find("skylarkshunt_store_calls_total",
-                                      "Calls to the object store.")),
-        failures_(options.counters->Find("skylarkshunt_store_failures_total",
-                                         "Calls to the object store without "
-                                         "success.")),
         revision_gauge_(
             options.counters->Find("skylarkshunt_configuration_revision",
                                    "Revision of the configuration in force.",
@@ -127,23 +111,13 @@
         parts_received_(options.counters->Find(
             "skylarkshunt_configuration_parts_received_total",
             "Parts of the configuration that other nodes sent.")),
-        lost_watches_(options.counters->Find(
-            "skylarkshunt_store_watches_lost_total",
-            "Watches of the configuration that were not answered.")),
-        objects_ignored_(options.counters->Find(
-            "skylarkshunt_store_objects_ignored_total",
-            "Objects in answers of the store that could not be read.")),
         values_ignored_(options.counters->Find(
             "skylarkshunt_configuration_values_ignored_total",
             "Routes, services and values of configurations of the store that "
             "could not be read.")),
-        answer_time_(*options.counters,
-                     "skylarkshunt_store_answer",
-                     "Time to an answer of the object store, without the wait "
-                     "of a watch.",
-                     ""),
         notices_(kMaxRevisionNotices),
         download_(options.random_seed),
+        calls_(*options.counters),
         watches_(watches),
         backoff_(kInitialRetryDelay, kMaxRetryDelay, options.random_seed),
         budget_(options.node.link_bytes_per_second),
@@ -293,74 +267,17 @@
     return adopted;
   }
 
-  /// Counts a call that began at `begun` and may have waited for `wait`, and
-  /// logs when the store becomes unavailable or available again. Returns
-  /// whether the call succeeded.
+  /// Records a call as StoreCallLog::Record() does. Returns whether it
+  /// succeeded.
   template <typename T>
   bool RecordCall(const Result<T>& result,
                   absl::string_view what,
                   absl::Time begun,
                   absl::Duration wait = absl::ZeroDuration()) {
-    calls_.Increment();
-    if (result.has_value()) {
-      RecordAnswerTime(what, MonotonicNow() - begun - wait);
-      if (store_lost_) {
-        LogLine(kStoreRegained)
-            .Field("call", what)
-            .Field("away_ms",
-                   absl::ToInt64Milliseconds(MonotonicNow() - lost_since_))
-            .Field("unanswered_ms", absl::ToInt64Milliseconds(UnansweredTime()))
-            .Field("revision", ToNumber(revision()));
-      }
-      store_lost_ = false;
-      last_answer_ = MonotonicNow();
+    const bool succeeded = calls_.Record(result, what, revision(), begun, wait);
+    if (succeeded)
       backoff_.OnSuccess();
-      return true;
-    }
-    failures_.Increment();
-    if (!store_lost_) {
-      lost_since_ = MonotonicNow();
-      LogLine(kStoreLost, Severity::kWarning)
-          .Field("call", what)
-          .Field("unanswered_ms", absl::ToInt64Milliseconds(UnansweredTime()))
-          .Field("revision", ToNumber(revision()))
-          .Field("error", result.error().ToString());
-    }
-    store_lost_ = true;
-    return false;
-  }
-
-  /// Counts objects that cannot be read. The others of the answer are used.
-  void RecordIgnored(absl::string_view prefix, const IgnoredObjects& ignored) {
-    if (ignored.count == 0)
-      return;
-    objects_ignored_.Add(ignored.count);
-    const absl::Time now = MonotonicNow();
-    if (now < next_ignored_log_)
-      return;
-    next_ignored_log_ = now + kRepeatedLogInterval;
-    LogLine(kObjectsIgnored, Severity::kWarning)
-        .Field("prefix", prefix)
-        .Field("count", ignored.count)
-        .Field("first", ignored.first);
-  }
-
-  void RecordAnswerTime(absl::string_view what, absl::Duration time) {
-    answer_time_.Record(std::max(time, absl::ZeroDuration()));
-    const absl::Time now = MonotonicNow();
-    if (time < kSlowAnswerTime || now < next_slow_log_)
-      return;
-    next_slow_log_ = now + kRepeatedLogInterval;
-    LogLine(kCallSlow, Severity::kWarning)
-        .Field("call", what)
-        .Field("time_ms", absl::ToInt64Milliseconds(time))
-        .Field("unanswered_ms", absl::ToInt64Milliseconds(UnansweredTime()));
-  }
-
-  /// Time since the store last answered, or since the start. The configuration
-  /// in force may be older than that of the store by this time.
-  absl::Duration UnansweredTime() const {
-    return MonotonicNow() - last_answer_;
+    return succeeded;
   }
 
   /// Waits for `time` or until the end. The clock of the wait does not step, so
@@ -436,7 +353,7 @@
     const Result<ObjectList> list = store.List(prefix_);
     if (!RecordCall(list, "list_configuration", begun))
       return false;
-    RecordIgnored(prefix_, list.value().ignored);
+    calls_.RecordIgnored(prefix_, list.value().ignored);
     if (!AdoptRecords(list.value().objects, begun))
       return false;
     position_.Reset(list.value().revision);
@@ -452,22 +369,12 @@
     PlatformClient& store = watches_.is_probing() ? *store_ : *watch_store_;
     const Result<WatchBatch> batch =
         store.Watch(prefix_, position_.revision(), wait);
-    // Changes that cannot be parsed, or that exceed an answer, would be sent
-    // again at every watch from the same position.
-    const bool list_again =
-        !batch.has_value() &&
-        (batch.error().kind == ErrorKind::kNotFound ||
-         batch.error().kind == ErrorKind::kMalformedMessage ||
-         batch.error().kind == ErrorKind::kOversizedMessage);
-    if (list_again) {
-      calls_.Increment();
-      LogLine(kStoreHistoryGone)
-          .Field("position", ToNumber(position_.revision()))
-          .Field("error", batch.error().ToString());
+    if (!batch.has_value() && IsListNeeded(batch.error())) {
+      calls_.RecordHistoryGone(prefix_, position_.revision(), batch.error());
       return false;
     }
     if (!RecordCall(batch, "watch_configuration", begun, wait)) {
-      lost_watches_.Increment();
+      calls_.RecordLostWatch();
       watches_.OnLost();
       // A lost call has taken its time; a rejected one must not be repeated at
       // once.
@@ -477,7 +384,7 @@
     }
     watches_.OnAnswered();
     LogAnswer(batch.value(), begun);
-    RecordIgnored(prefix_, batch.value().ignored);
+    calls_.RecordIgnored(prefix_, batch.value().ignored);
     if (AdoptRecords(batch.value().changes, begun)) {
       position_.OnAnswered(batch.value().revision,
                            NewestRevision(batch.value().changes),
@@ -507,7 +414,7 @@
     const Result<ObjectList> list = store_->List(kNodesPrefix);
     if (!RecordCall(list, "list_nodes", begun))
       return false;
-    RecordIgnored(kNodesPrefix, list.value().ignored);
+    calls_.RecordIgnored(kNodesPrefix, list.value().ignored);
     const std::string key = absl::StrCat(kNodesPrefix, options_.node.name);
     const nlohmann::json self = {{"address", options_.node.peers.ToString()},
                                  {"role", is_entry() ? "entry" : "agent"}};
@@ -677,34 +584,25 @@
   const std::unique_ptr<PlatformClient> watch_store_;
   /// Client with kInitialTimeout, used until there is a configuration.
   const std::unique_ptr<PlatformClient> initial_store_;
-  Counter& calls_;
-  Counter& failures_;
   Counter& revision_gauge_;
   Counter& parts_sent_;
   Counter& parts_refused_;
   Counter& parts_received_;
-  Counter& lost_watches_;
-  Counter& objects_ignored_;
   Counter& values_ignored_;
-  LatencyMetric answer_time_;
   BoundedRing<RevisionNotice> notices_;
   // The next three are used by peer_thread_ only.
   DocumentDownload download_;
   /// Highest revision that a peer has offered, and when it was first offered.
   Revision offered_{};
   absl::Time offered_at_ = MonotonicNow();
-  // The next ten are used by store_thread_ only.
+  // The next six are used by store_thread_ only.
+  StoreCallLog calls_;
   WatchSchedule watches_;
   WatchPosition position_{kSettleTime};
   /// Revision that the last answer to a watch named.
   Revision named_{};
   size_t ignored_objects_ = 0;
   Backoff backoff_;
-  bool store_lost_ = false;
-  absl::Time lost_since_;
-  absl::Time last_answer_ = MonotonicNow();
-  absl::Time next_ignored_log_ = absl::InfinitePast();
-  absl::Time next_slow_log_ = absl::InfinitePast();
   mutable absl::Mutex mutex_;
   Revision revision_ ABSL_GUARDED_BY(mutex_){};
   /// The current configuration and the previous one, for peers.
--- a/lib/node/data_command.h
+++ b/lib/node/data_command.h
@@ -22,6 +22,12 @@
   absl::Time sent;
 };
 
+/// Outcome of a read of the evacuations by the local node.
+struct EvacuationsRead {
+  /// What the store has; null if the read failed.
+  std::shared_ptr<const EvacuationSet> set;
+};
+
 struct TargetLeft {
   std::string id;
   /// Start of the incarnation that ended, as in TargetReport.
@@ -42,6 +48,7 @@
 
 /// Command that other threads send to the data thread of a node.
 using DataCommand = std::variant<ConfigurationInForce,
+                                 EvacuationsRead,
                                  NodeAddress,
                                  TargetReport,
                                  TargetLeft,
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "decision_fields.h"
 #include "node_loop.h"
@@ -7,6 +8,7 @@
 #include "skylarkshunt/base/hash.h"
 #include "skylarkshunt/forwarding/entry_forwarder.h"
 #include "skylarkshunt/forwarding/entry_peers.h"
+#include "skylarkshunt/forwarding/evacuations.h"
 #include "skylarkshunt/forwarding/node_codec.h"
 #include "skylarkshunt/forwarding/node_directory.h"
 
@@ -21,6 +23,7 @@
 constexpr EventId kReady{2114, "entry_ready"};
 constexpr EventId kRoutesInUse{2116, "routes_in_use"};
 constexpr EventId kRoutesIgnored{2117, "routes_ignored"};
+constexpr EventId kEvacuationsInUse{2120, "evacuations_in_use"};
 
 /// Number of addresses in a regular report, 5 bytes each. They add little to
 /// the report, and successive reports cover a fleet of 300 nodes within about
@@ -29,6 +32,10 @@
 /// Time after which an entry without agents reports that it is ready, because
 /// it can then refuse flows at once.
 constexpr absl::Duration kReadyWithoutAgentsDelay = absl::Seconds(2);
+/// Longest time after the start for which an entry defers opening packets until
+/// it knows the evacuated data centres. Reading them takes some milliseconds,
+/// and up to 1 s if the store loses the first call.
+constexpr absl::Duration kMaxEvacuationsWait = absl::Seconds(2);
 /// After SIGTERM an entry ends when no packet has arrived for this time. The
 /// routers remove it from rotation after two checks that are 500 ms apart.
 constexpr absl::Duration kLeaveQuietPeriod = absl::Milliseconds(700);
@@ -54,6 +61,10 @@
         ignored_reports_(options.counters->Find(
             "skylarkshunt_refusal_reports_ignored_total",
             "Reports of refusals from addresses that are not entries.")),
+        evacuated_gauge_(options.counters->Find(
+            "skylarkshunt_evacuated_data_centres",
+            "Data centres of known agents that get no new flow.",
+            MetricType::kGauge)),
         peers_(DataCentreHash(options)),
         nodes_(Role::kEntry,
                options.node.peers.address,
@@ -61,6 +72,8 @@
                options.node.seeds,
                started_) {
     forwarder_.SetLinkRate(options.node.link_bytes_per_second);
+    if (uses_evacuations())
+      forwarder_.AwaitEvacuated(started_ + kMaxEvacuationsWait);
     self_.uid = MakeEntryUid(options.node.data.ToString());
     self_.incarnation = options.incarnation;
   }
@@ -95,6 +108,13 @@
       // Operators compare the nodes right after a change.
       loop.PublishStatus(now);
     }
+    void operator()(const EvacuationsRead& read) const {
+      const bool changed = read.set == nullptr
+                               ? loop.evacuations_.OnStoreFailed()
+                               : loop.evacuations_.OnStoreAnswered(*read.set);
+      if (changed)
+        loop.UseEvacuations(read.set == nullptr ? "peer" : "store", now);
+    }
     void operator()(const NodeAddress& node) const {
       loop.nodes_.Learn(node, now);
     }
@@ -146,6 +166,17 @@
       loop.forwarder_.OnQueryAnswer(answer, source, now, loop.actions_);
       loop.Execute(now);
     }
+    void operator()(const EvacuationReport& report) const {
+      // A forged report would keep flows from a data centre.
+      if (!loop.uses_evacuations() ||
+          !loop.nodes_.IsPresentEntry(source.address, now)) {
+        return;
+      }
+      if (loop.evacuations_.OnPeerSet(report.set))
+        loop.UseEvacuations(source.ToString(), now);
+      if (report.wants_reply && loop.evacuations_.is_known())
+        loop.SendEvacuations({source.address});
+    }
     void operator()(const RefusalReport& report) const {
       // A forged report would make requests of a client count as older.
       if (!loop.nodes_.IsPresentEntry(source.address, now)) {
@@ -216,6 +247,57 @@
     ++self_.sequence;
     self_.nodes = nodes_.Present(now, kMaxReportedNodes);
     channel_.SendToNode(node.address, self_);
+    if (node.role == Role::kEntry)
+      SendEvacuations({node.address});
+  }
+
+  bool uses_evacuations() const {
+    return options_.node.evacuation_limit > absl::ZeroDuration();
+  }
+
+  /// Puts the evacuated data centres into force and reports them to the other
+  /// entries.
+  void UseEvacuations(absl::string_view source, absl::Time now) {
+    const EvacuationSet& set = evacuations_.in_force();
+    forwarder_.SetEvacuated(set.data_centres);
+    const size_t agents = CountEvacuatedAgents();
+    LogLine(kEvacuationsInUse)
+        .Field("revision", ToNumber(set.revision))
+        .Field("source", source)
+        .Field("objects", set.data_centres.size())
+        .Field("data_centres", EvacuatedDataCentres().size())
+        .Field("agents", agents);
+    evacuated_gauge_.Set(EvacuatedDataCentres().size());
+    SendEvacuations(nodes_.PresentEntries(now));
+  }
+
+  /// Sends the evacuated data centres, or asks for them if they are unknown.
+  void SendEvacuations(absl::Span<const uint32_t> addresses) {
+    if (!uses_evacuations() || addresses.empty())
+      return;
+    EvacuationReport report = evacuations_.MakeReport(EvacuatedDataCentres());
+    report.wants_reply = !evacuations_.is_known();
+    const NodeMessage message = std::move(report);
+    for (const uint32_t address : addresses)
+      channel_.SendToNode(address, message);
+  }
+
+  /// Returns the evacuated data centres that have a known agent.
+  std::vector<uint32_t> EvacuatedDataCentres() {
+    absl::flat_hash_set<uint32_t> known;
+    forwarder_.agents().ForEach([&](const AgentView& agent) {
+      if (forwarder_.IsEvacuated(agent))
+        known.insert(agent.identity.data_centre);
+    });
+    return {known.begin(), known.end()};
+  }
+
+  size_t CountEvacuatedAgents() {
+    size_t agents = 0;
+    forwarder_.agents().ForEach([&](const AgentView& agent) {
+      agents += forwarder_.IsEvacuated(agent) ? 1 : 0;
+    });
+    return agents;
   }
 
   void ReportNewerRevision(uint32_t address, Revision revision) {
@@ -288,6 +370,10 @@
     not_proven_.Set(searches.not_proven);
     nodes_.RemoveUnresponsive(now);
     SendToPeers(peers_.MakeQuery(nodes_.PresentEntries(now)));
+    if (uses_evacuations()) {
+      SendEvacuations(evacuations_.NextReceivers(nodes_.PresentEntries(now)));
+      evacuated_gauge_.Set(EvacuatedDataCentres().size());
+    }
     SetEntryRank(nodes_.CountPrecedingEntries(now));
     PublishStatus(now);
     for (const AgentView& agent : forwarder_.agents().RemoveUnresponsive(now)) {
@@ -342,6 +428,8 @@
   Counter& held_nowhere_;
   Counter& not_proven_;
   Counter& ignored_reports_;
+  Counter& evacuated_gauge_;
+  EvacuationState evacuations_;
   EntryPeers peers_;
   NodeDirectory nodes_;
   EntryReport self_;
--- a/lib/node/link_usage.cc
+++ b/lib/node/link_usage.cc
@@ -22,6 +22,9 @@
   LinkPurpose operator()(const RefusalReport&) const {
     return LinkPurpose::kReport;
   }
+  LinkPurpose operator()(const EvacuationReport&) const {
+    return LinkPurpose::kReport;
+  }
   LinkPurpose operator()(const ForwardedPacket& forwarded) const {
     return forwarded.mode == ForwardMode::kSearch ? LinkPurpose::kSearch
                                                   : LinkPurpose::kForwarded;
--- a/lib/node/node_process.cc
+++ b/lib/node/node_process.cc
@@ -6,6 +6,7 @@
 #include "configuration_follower.h"
 #include "data_loop.h"
 #include "decision_history.h"
+#include "evacuation_follower.h"
 #include "node_status.h"
 #include "skylarkshunt/http/http_server.h"
 #include "target_prober.h"
@@ -59,10 +60,16 @@
     BOOST_OUTCOME_TRY(created, ConfigurationFollower::Create(follower));
     follower_ = std::move(created);
 
+    if (options.node.role == Role::kEntry &&
+        options.node.evacuation_limit > absl::ZeroDuration()) {
+      BOOST_OUTCOME_TRYV(OpenEvacuations(options));
+    }
     if (options.node.role == Role::kAgent)
       OpenProber(options.node);
     BOOST_OUTCOME_TRYV(OpenHttp(options));
     follower_->Start();
+    if (evacuations_ != nullptr)
+      evacuations_->Start();
     loop_->Start();
     return Success();
   }
@@ -71,6 +78,20 @@
   bool ended() const override { return loop_->ended(); }
 
  private:
+  Result<void> OpenEvacuations(const Options& options) {
+    EvacuationFollower::Options follower;
+    follower.node = options.node;
+    follower.prefix = options.adapter.evacuation_prefix;
+    follower.counters = options.counters;
+    follower.command = [this](DataCommand command) {
+      return loop_->Command(std::move(command));
+    };
+    follower.random_seed = options.random_seed;
+    BOOST_OUTCOME_TRY(created, EvacuationFollower::Create(follower));
+    evacuations_ = std::move(created);
+    return Success();
+  }
+
   void OpenProber(const NodeOptions& node) {
     TargetProber::Options prober;
     prober.target = node.target;
@@ -147,6 +168,8 @@
   // first.
   std::unique_ptr<DataLoop> loop_;
   std::unique_ptr<ConfigurationFollower> follower_;
+  /// Null unless the deployment uses evacuations.
+  std::unique_ptr<EvacuationFollower> evacuations_;
   std::unique_ptr<TargetProber> prober_;
   std::unique_ptr<HttpServer> http_;
 };
--- a/standins/flow_simulation/simulated_agent.cc
+++ b/standins/flow_simulation/simulated_agent.cc
@@ -62,6 +62,7 @@
   void operator()(const AgentReport&) const {}
   void operator()(const ReturnedPacket&) const {}
   void operator()(const FlowPlaced&) const {}
+  void operator()(const EvacuationReport&) const {}
   void operator()(const RefusalReport&) const {}
 };
 
--- a/standins/flow_simulation/simulated_entry.cc
+++ b/standins/flow_simulation/simulated_entry.cc
@@ -65,6 +65,8 @@
     entry.forwarder_->OnQueryAnswer(answer, endpoint(), now, entry.actions_);
     entry.Execute();
   }
+  // The simulation has no evacuations.
+  void operator()(const EvacuationReport&) const {}
   void operator()(const RefusalReport& report) const {
     if (!entry.nodes_->IsPresentEntry(source, now))
       return;
--- a/unittests/platform_adapter/platform_adapter_test.cc
+++ b/unittests/platform_adapter/platform_adapter_test.cc
@@ -384,6 +384,10 @@
                    absl::Seconds(5));
     CPPUNIT_ASSERT(
         ParseNodeSettings(settings + "\nbounds.config-apply-ms=0").has_value());
+    CPPUNIT_ASSERT(options.evacuation_limit == absl::ZeroDuration());
+    CPPUNIT_ASSERT(ParseNodeSettings(settings + "\nbounds.evacuate-ms=5000")
+                       .value()
+                       .evacuation_limit == absl::Seconds(5));
     CPPUNIT_ASSERT_EQUAL(0.0, options.warmup_excess + options.warmup_slack);
     const NodeOptions limited =
         ParseNodeSettings(absl::StrCat(kSettings,
