--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -103,14 +103,13 @@
                         absl::Time now);
   const RouteTable* routes() const { return routes_.get(); }
 
-  /// Defers opening packets until the evacuated data centres are known, but not
-  /// beyond `limit`.
+  /// Defers opening packets until `limit`, because the evacuated data centres
+  /// are unknown or may be outdated. The infinite past ends that.
   void AwaitEvacuated(absl::Time limit) { evacuated_limit_ = limit; }
   /// Sets the data centres whose agents get no new flow, as in AgentIdentity.
   /// Open flows stay. Precondition: `data_centres` is sorted.
   void SetEvacuated(std::vector<uint32_t> data_centres) {
     evacuated_ = std::move(data_centres);
-    evacuated_limit_ = absl::InfinitePast();
   }
 
   /// Whether the agent's data centre is evacuated.
--- a/lib/node/data_command.h
+++ b/lib/node/data_command.h
@@ -26,6 +26,8 @@
 struct EvacuationsRead {
   /// What the store has; null if the read failed.
   std::shared_ptr<const EvacuationSet> set;
+  /// When the read began.
+  absl::Time begun;
 };
 
 struct TargetLeft {
@@ -65,6 +67,8 @@
 struct DataNotices {
   /// The node at `address` has a configuration of `revision`.
   std::function<void(uint32_t address, Revision revision)> on_revision;
+  /// The evacuations may be outdated and should be read again.
+  std::function<void()> on_evacuations_outdated;
   /// The target should be checked.
   std::function<void()> on_target_check_needed;
 };
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -32,9 +32,9 @@
 /// Time after which an entry without agents reports that it is ready, because
 /// it can then refuse flows at once.
 constexpr absl::Duration kReadyWithoutAgentsDelay = absl::Seconds(2);
-/// Longest time after the start for which an entry defers opening packets until
-/// it knows the evacuated data centres. Reading them takes some milliseconds,
-/// and up to 1 s if the store loses the first call.
+/// Longest time after the start, or after a suspension, for which an entry
+/// defers opening packets until it knows the evacuated data centres. Reading
+/// them takes some milliseconds, and up to 1 s if the store loses a call.
 constexpr absl::Duration kMaxEvacuationsWait = absl::Seconds(2);
 /// After SIGTERM an entry ends when no packet has arrived for this time. The
 /// routers remove it from rotation after two checks that are 500 ms apart.
@@ -109,11 +109,15 @@
       loop.PublishStatus(now);
     }
     void operator()(const EvacuationsRead& read) const {
-      const bool changed = read.set == nullptr
-                               ? loop.evacuations_.OnStoreFailed()
-                               : loop.evacuations_.OnStoreAnswered(*read.set);
-      if (changed)
-        loop.UseEvacuations(read.set == nullptr ? "peer" : "store", now);
+      if (read.set == nullptr) {
+        if (loop.evacuations_.OnStoreFailed())
+          loop.UseEvacuations("peer", now);
+        return;
+      }
+      if (loop.evacuations_.OnStoreAnswered(*read.set))
+        loop.UseEvacuations("store", now);
+      if (read.begun >= loop.resumed_)
+        loop.forwarder_.AwaitEvacuated(absl::InfinitePast());
     }
     void operator()(const NodeAddress& node) const {
       loop.nodes_.Learn(node, now);
@@ -172,8 +176,10 @@
           !loop.nodes_.IsPresentEntry(source.address, now)) {
         return;
       }
-      if (loop.evacuations_.OnPeerSet(report.set))
+      if (loop.evacuations_.OnPeerSet(report.set)) {
         loop.UseEvacuations(source.ToString(), now);
+        loop.forwarder_.AwaitEvacuated(absl::InfinitePast());
+      }
       if (report.wants_reply && loop.evacuations_.is_known())
         loop.SendEvacuations({source.address});
     }
@@ -190,6 +196,16 @@
     }
   };
 
+  /// Data centres may have been evacuated during the suspension, also longer
+  /// ago than the limit, and an answer that waits in the socket may be older.
+  void OnSuspended(absl::Time now) override {
+    if (!uses_evacuations())
+      return;
+    resumed_ = now;
+    forwarder_.AwaitEvacuated(now + kMaxEvacuationsWait);
+    options_.notices.on_evacuations_outdated();
+  }
+
   absl::Time NextDeadline(absl::Time /*now*/) override {
     return forwarder_.next_deadline();
   }
@@ -269,6 +285,7 @@
         .Field("agents", agents);
     evacuated_gauge_.Set(EvacuatedDataCentres().size());
     SendEvacuations(nodes_.PresentEntries(now));
+    PublishStatus(now);
   }
 
   /// Sends the evacuated data centres, or asks for them if they are unknown.
@@ -396,6 +413,8 @@
     forwarder_.agents().ForEach(
         [&status](const AgentView& agent) { status.agents.push_back(agent); });
     status.cached_flows = forwarder_.cached_flows();
+    if (evacuations_.is_known())
+      status.evacuations = evacuations_.in_force();
     status.time = now;
     options_.board->Publish(std::move(status));
   }
@@ -409,6 +428,8 @@
   bool IsReady(absl::Time now) override {
     const bool ready =
         !leaving_ && forwarder_.routes() != nullptr &&
+        (evacuations_.is_known() || !uses_evacuations() ||
+         now - started_ > kMaxEvacuationsWait) &&
         (HasAgents() || now - started_ > kReadyWithoutAgentsDelay);
     if (ready != is_ready()) {
       LogLine(kReady)
@@ -430,6 +451,8 @@
   Counter& ignored_reports_;
   Counter& evacuated_gauge_;
   EvacuationState evacuations_;
+  /// End of the last suspension of the process.
+  absl::Time resumed_ = absl::InfinitePast();
   EntryPeers peers_;
   NodeDirectory nodes_;
   EntryReport self_;
--- a/lib/node/evacuation_follower.cc
+++ b/lib/node/evacuation_follower.cc
@@ -106,11 +106,15 @@
     thread_ = std::thread([this] { Run(); });
   }
 
+  void Refresh() override { refresh_.store(true); }
+
  private:
   void Run() {
     bool listed = false;
     absl::Time next_watch = absl::InfinitePast();
     while (!stopping_.load()) {
+      if (refresh_.exchange(false))
+        listed = false;
       if (!listed && !List()) {
         const absl::Duration wait = backoff_.OnFailure();
         Sleep(is_known_ ? wait : backoff_.Jitter(kMaxFirstRetryDelay));
@@ -122,8 +126,8 @@
         continue;
       }
       Sleep(next_watch - MonotonicNow());
-      if (stopping_.load())
-        return;
+      if (stopping_.load() || refresh_.load())
+        continue;
       next_watch = MonotonicNow() + kMinWatchInterval;
       listed = Watch();
     }
@@ -190,6 +194,7 @@
     const bool changed =
         last_ == nullptr || last_->data_centres != set->data_centres;
     last_ = std::move(set);
+    last_begun_ = begun;
     is_known_ = true;
     is_sent_ = false;
     if (!changed)
@@ -219,12 +224,15 @@
   /// Sends the last set to the data thread unless it has it. Returns false if
   /// the data thread cannot take it now.
   bool SendSet() {
-    is_sent_ = is_sent_ || options_.command(EvacuationsRead{last_});
+    is_sent_ =
+        is_sent_ || options_.command(EvacuationsRead{last_, last_begun_});
     return is_sent_;
   }
 
   /// If the queue of the data thread is full, the next failure repeats this.
-  void SendFailure() { options_.command(EvacuationsRead{}); }
+  void SendFailure() {
+    options_.command(EvacuationsRead{nullptr, MonotonicNow()});
+  }
 
   /// Waits for `time` or until the end.
   void Sleep(absl::Duration time) {
@@ -240,19 +248,21 @@
   const std::unique_ptr<PlatformClient> initial_store_;
   Counter& revision_gauge_;
   Counter& ignored_;
-  // The next nine are used by thread_ only.
+  // The next ten are used by thread_ only.
   StoreCallLog calls_;
   EvacuationObjects objects_;
   WatchSchedule watches_;
   WatchPosition position_{kSettleTime};
   Backoff backoff_;
   std::shared_ptr<const EvacuationSet> last_;
+  absl::Time last_begun_;
   bool is_known_ = false;
   bool is_sent_ = false;
   absl::Time next_ignored_log_ = absl::InfinitePast();
   /// Ends the waits of the thread; never drained.
   const Wakeup stop_;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> refresh_{false};
   std::thread thread_;
 };
 
--- a/lib/node/evacuation_follower.h
+++ b/lib/node/evacuation_follower.h
@@ -36,6 +36,8 @@
   virtual ~EvacuationFollower() = default;
 
   virtual void Start() = 0;
+  /// Reads all objects as soon as the present call ends.
+  virtual void Refresh() = 0;
 };
 
 }  // namespace skylarkshunt
--- a/lib/node/node_loop.cc
+++ b/lib/node/node_loop.cc
@@ -69,6 +69,7 @@
   if (now - last_round_ > kSuspendedGap) {
     DiscardStale(now - last_round_);
     packets_empty_ = now;
+    OnSuspended(now);
   }
   last_round_ = now;
   if ((readable & 4U) != 0)
--- a/lib/node/node_loop.h
+++ b/lib/node/node_loop.h
@@ -49,6 +49,8 @@
   virtual void Round(absl::Time now) = 0;
   /// Called about every second.
   virtual void Sweep(absl::Time now) = 0;
+  /// Called when the process was suspended, before anything else is handled.
+  virtual void OnSuspended(absl::Time /*now*/) {}
   /// Returns whether the node accepts new flows.
   virtual bool IsReady(absl::Time now) = 0;
   /// Returns whether a shutdown that began `leaving` ago is complete.
--- a/lib/node/node_process.cc
+++ b/lib/node/node_process.cc
@@ -42,6 +42,10 @@
     data.notices.on_revision = [this](uint32_t address, Revision revision) {
       follower_->OnRevision(address, revision);
     };
+    data.notices.on_evacuations_outdated = [this] {
+      if (evacuations_ != nullptr)
+        evacuations_->Refresh();
+    };
     data.notices.on_target_check_needed = [this] { prober_->Probe(); };
     BOOST_OUTCOME_TRY(loop, DataLoop::Open(data));
     loop_ = std::move(loop);
--- a/lib/node/node_status.cc
+++ b/lib/node/node_status.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "absl/algorithm/container.h"
 #include "skylarkshunt/base/ids.h"
 
 namespace skylarkshunt {
@@ -73,8 +74,18 @@
   if (status->role == Role::kEntry) {
     value["cached_flows"] = status->cached_flows;
     value["agents"] = json::array();
-    for (const AgentView& agent : status->agents)
+    for (const AgentView& agent : status->agents) {
       value["agents"].push_back(AgentJson(agent, status->time));
+      if (status->evacuations.has_value()) {
+        value["agents"].back()["evacuated"] = absl::c_binary_search(
+            status->evacuations->data_centres, agent.identity.data_centre);
+      }
+    }
+    if (status->evacuations.has_value()) {
+      value["evacuations"] = {
+          {"revision", ToNumber(status->evacuations->revision)},
+          {"objects", status->evacuations->data_centres.size()}};
+    }
   } else {
     value["load"] = LoadJson(status->load);
     value["admission"] = AdmissionJson(status->admission);
--- a/lib/node/node_status.h
+++ b/lib/node/node_status.h
@@ -7,6 +7,7 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/types/optional.h"
 #include "skylarkshunt/forwarding/agent_directory.h"
 #include "skylarkshunt/forwarding/messages.h"
 #include "skylarkshunt/forwarding/opening_queue.h"
@@ -25,6 +26,8 @@
   /// Entries: the known agents, and the number of cached flows.
   std::vector<AgentView> agents;
   size_t cached_flows = 0;
+  /// Entries: the evacuated data centres, if they are known.
+  absl::optional<EvacuationSet> evacuations;
   /// Agents: the load of the target, the queue of opening packets and the id of
   /// the target.
   AgentLoad load;
--- a/unittests/forwarding/evacuations_test.cc
+++ b/unittests/forwarding/evacuations_test.cc
@@ -301,7 +301,9 @@
     Client(FlowPackets().Opening());
     CPPUNIT_ASSERT(actions_.to_agents.empty() && actions_.resets.empty());
     entry_.SetEvacuated({kNorth});
+    entry_.AwaitEvacuated(absl::InfinitePast());
     CPPUNIT_ASSERT(PlacedIn(FlowPackets().Opening(1)) != kNorth);
+    // The wait is limited, since the store may be unavailable.
     entry_.AwaitEvacuated(kStart);
     CPPUNIT_ASSERT(PlacedIn(FlowPackets(2).Opening()) != kNorth);
   }
--- a/unittests/node/evacuation_test.cc
+++ b/unittests/node/evacuation_test.cc
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(LostWatchIsFoundWithinTheLimit);
   CPPUNIT_TEST(ChangeBeforeTheHistoryIsGoneIsNotMissed);
   CPPUNIT_TEST(SetThatTheDataThreadRefusedIsSentAgain);
+  CPPUNIT_TEST(RefreshReadsAllObjects);
   CPPUNIT_TEST(OddObjectsLeaveTheOthersInUse);
   CPPUNIT_TEST(UnavailableStoreIsReportedAndQueriedAgain);
   CPPUNIT_TEST(EntryPlacesNoFlowInTheDataCentre);
@@ -127,7 +128,7 @@
   void LostWatchIsFoundWithinTheLimit() {
     Follow();
     CPPUNIT_ASSERT(received_.Await({}, kLongWait));
-    AwaitWatches(1);
+    AwaitCalls(CallKind::kWatch, 1);
     store_->core().SetFault({FaultMode::kLoseWatches, absl::ZeroDuration(), 1});
     Evacuate("zone-a");
     CPPUNIT_ASSERT(
@@ -139,10 +140,10 @@
   void ChangeBeforeTheHistoryIsGoneIsNotMissed() {
     Follow();
     CPPUNIT_ASSERT(received_.Await({}, kLongWait));
-    AwaitWatches(1);
+    AwaitCalls(CallKind::kWatch, 1);
     store_->core().SetFault({FaultMode::kDeafenWatches});
     Evacuate("zone-a");
-    AwaitWatches(2);
+    AwaitCalls(CallKind::kWatch, 2);
     store_->core().SetFault(Fault{});
     CPPUNIT_ASSERT(received_.Await({HashOf("zone-a")}, kLimit));
   }
@@ -155,6 +156,16 @@
     CPPUNIT_ASSERT(received_.Await({HashOf("zone-a")}, kObjective));
   }
 
+  // Guards against an entry that resumes after a suspension and trusts an
+  // answer from before it for another whole wait.
+  void RefreshReadsAllObjects() {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await({}, kLongWait));
+    AwaitCalls(CallKind::kList, 1);
+    follower_->Refresh();
+    AwaitCalls(CallKind::kList, 2);
+  }
+
   // Guards against an evacuation that is missed because of objects of another
   // writer: huge, deep, several pages of them, or with unexpected bodies. Only
   // the names count.
@@ -235,16 +246,15 @@
     return std::stoull(answer.body.substr(at, 20));
   }
 
-  void AwaitWatches(uint64_t count) {
+  /// Waits until the store has got `count` calls of `kind`.
+  void AwaitCalls(CallKind kind, uint64_t count) {
     const absl::Time limit = absl::Now() + kLongWait;
-    const auto watches = [this] {
-      return store_->core()
-          .counts()
-          .by_kind[static_cast<size_t>(CallKind::kWatch)];
+    const auto calls = [this, kind] {
+      return store_->core().counts().by_kind[static_cast<size_t>(kind)];
     };
-    while (watches() < count && absl::Now() < limit)
+    while (calls() < count && absl::Now() < limit)
       absl::SleepFor(absl::Milliseconds(5));
-    CPPUNIT_ASSERT(watches() >= count);
+    CPPUNIT_ASSERT(calls() >= count);
   }
 
   void AwaitMetric(const std::string& text) {
