--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -21,7 +21,8 @@
 /// The same for a target that reports its pending work. A precise estimate
 /// finds small differences between the data centres all the time. A flow leaves
 /// its own one only for a gain of about half a usual service time. With 3 ms,
-/// twice as many flows crossed in the simulation of expected_work_test.cc.
+/// 42% of the flows crossed in the simulation of expected_work_test.cc instead
+/// of 24%, and they waited no shorter.
 constexpr uint64_t kRemoteWorkCostUs = 12'000;
 /// Additional cost of a full target over an empty one, in microseconds. Spreads
 /// flows over targets with free slots.
@@ -39,9 +40,10 @@
 /// An agent declines a flow only if it is worse than the second best agent by
 /// more than this, in microseconds: two hops between data centres.
 constexpr uint32_t kDeclineMarginUs = 2000;
-/// The same for an agent that reports its pending work. Requests that have come
-/// from other entries since its report make it decline; with 2 ms it declined
-/// twice as often in the simulation, for a wait that was hardly shorter.
+/// The same for an agent that reports its pending work. It declines because of
+/// requests that have come from other entries since its report. With 2 ms the
+/// agents of the simulation declined 40% more often, for a mean wait of 16.9
+/// instead of 18.9 ms.
 constexpr uint32_t kWorkDeclineMarginUs = 8000;
 /// Number of missed reports after which an agent gets no new flow.
 constexpr int kMissedReports = 3;
