Refuse requests early while all targets of a service are cold

Cause: the queue keeps late packets while an overload may end soon. The overload of a cold target lasts until the end of its warm-up, so that clients waited for refusals that could have been sent at once.

Change: SlotForecast::limited_for is the time for which the target is known to be limited; an overload is expected to last at least as long.

--- a/include/skylarkshunt/forwarding/slot_forecast.h
+++ b/include/skylarkshunt/forwarding/slot_forecast.h
@@ -18,6 +18,9 @@
   absl::Duration slot_interval;
   /// How long the target has been overloaded, as OverloadTimer measures it.
   absl::Duration overloaded_for;
+  /// Time for which an overload is known to last, since the target cannot serve
+  /// more until then.
+  absl::Duration limited_for;
 };
 
 /// Returns the forecast for a target with `slots` slots. `handshake_time` is
--- a/include/skylarkshunt/forwarding/target_state.h
+++ b/include/skylarkshunt/forwarding/target_state.h
@@ -67,6 +67,8 @@
   /// its last possible restart, which the start of the agent is too. `warmup`
   /// is the time for which a target is cold.
   absl::Time warm_at(absl::Duration warmup) const;
+  /// Whether warm_at() is what the target reported.
+  bool is_warmup_reported() const { return reported_warm_at_.has_value(); }
   const std::string& id() const { return id_; }
   /// Earliest possible start of the incarnation that the last report made known
   /// as a restart. Packets that the target sent before belong to an earlier
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -227,6 +227,11 @@
         std::max(forecast.slot_interval, warmup_limit_.interval());
     forecast.answer_time +=
         std::max(absl::ZeroDuration(), warmup_limit_.NextDelivery() - now);
+    // A target that is cold for certain remains so. Otherwise its next report
+    // may end the limit.
+    forecast.limited_for = target_.is_warmup_reported()
+                               ? target_.warm_at(warmup_) - now
+                               : absl::ZeroDuration();
   }
   return forecast;
 }
--- a/lib/forwarding/opening_queue.cc
+++ b/lib/forwarding/opening_queue.cc
@@ -89,8 +89,8 @@
   Arrange(now, forecast);
   const absl::Duration interval =
       forecast.slot_interval / std::max(late_share_, kMinLateShare);
-  const absl::Duration overload_left =
-      kOverloadDurationFactor * forecast.overloaded_for;
+  const absl::Duration overload_left = std::max(
+      kOverloadDurationFactor * forecast.overloaded_for, forecast.limited_for);
   std::vector<WaitingOpening> unservable;
   size_t kept = in_time_;
   for (size_t i = in_time_; i < waiting_.size(); ++i) {
--- a/unittests/forwarding/warmup_test.cc
+++ b/unittests/forwarding/warmup_test.cc
@@ -411,7 +411,8 @@
   }
 
   // All targets return cold and cannot take the load. Guards against placements
-  // that ignore the limit because no other target is left.
+  // that ignore the limit because no other target is left, and against clients
+  // that wait for a refusal which their agent could have sent at once.
   void FleetThatIsAllColdKeepsTheLimit() {
     OverloadSimulation::Options options = MakeOptions(1, true);
     options.warmup_factor =
@@ -422,6 +423,10 @@
     const size_t opened = CheckLimit(simulation, options.agents);
     // Four seconds at the usual rate.
     CPPUNIT_ASSERT(opened >= options.agents * 60);
+    simulation.Finish();
+    std::vector<absl::Duration> times = simulation.refusal_times();
+    std::sort(times.begin(), times.end());
+    CPPUNIT_ASSERT(times.at(times.size() * 9 / 10) <= absl::Milliseconds(200));
   }
 
  private:
