Let routes change in the flow simulation

Flows opened after a route came back are judged, and a flow of a removed route may be reset for no other reason than the removal.

--- a/standins/flow_simulation/fault_plan.cc
+++ b/standins/flow_simulation/fault_plan.cc
@@ -13,6 +13,10 @@
 constexpr double kRolloutShare = 0.2;
 /// Time after which routers notice that an entry is not ready, about.
 constexpr absl::Duration kRotationTime = absl::Milliseconds(500);
+/// Series of changes of routes in one simulation, and changes of each.
+constexpr size_t kMaxChangeSeries = 4;
+constexpr size_t kMaxChanges = 5;
+constexpr absl::Duration kLongestTimeBetweenChanges = absl::Seconds(2);
 constexpr absl::Duration kLongestFirstReport = absl::Milliseconds(500);
 
 }  // namespace
@@ -73,6 +77,8 @@
   const FaultKinds& kinds = context_.options.faults;
   if (kinds.bursts)
     Sometimes(kKindShare, 3, [this] { Burst(); });
+  if (kinds.route_changes)
+    ScheduleRouteChanges();
   if (kinds.configurations && context_.random.Chance(kKindShare)) {
     const absl::Duration added = AnyTime();
     if (kinds.planned && context_.random.Chance(kKindShare))
@@ -88,6 +94,22 @@
   }
 }
 
+void FaultPlan::ScheduleRouteChanges() {
+  const size_t series = 1 + context_.random.Index(kMaxChangeSeries);
+  for (size_t i = 0; i < series; ++i) {
+    absl::Duration time = AnyTime();
+    const size_t changes = 1 + context_.random.Index(kMaxChanges);
+    for (size_t k = 0; k < changes; ++k) {
+      context_.events.After(time, [this] { operator_.change_route(); });
+      time += context_.random.Between(absl::Milliseconds(50),
+                                      kLongestTimeBetweenChanges);
+    }
+    // The flows move to other entries, most of which know the former services.
+    if (context_.options.faults.planned)
+      context_.events.After(time, [this] { ScaleDownAndUp(); });
+  }
+}
+
 void FaultPlan::SchedulePlanned() {
   Sometimes(kKindShare, 2, [this] { RestartInTurn(ActorKind::kEntry); });
   Sometimes(kKindShare, 1, [this] { RestartInTurn(ActorKind::kAgent); });
--- a/standins/flow_simulation/fault_plan.h
+++ b/standins/flow_simulation/fault_plan.h
@@ -20,6 +20,8 @@
     std::function<void(double)> set_load;
     std::function<void()> add_route;
     std::function<void()> remove_route;
+    /// Changes the services of a route, removes it or adds it again.
+    std::function<void()> change_route;
   };
 
   /// The entries and agents must outlive the plan.
@@ -44,6 +46,7 @@
   void SchedulePlanned();
   void ScheduleUnplanned();
   void ScheduleChanges();
+  void ScheduleRouteChanges();
   void RestartInTurn(ActorKind kind);
   void ScaleDownAndUp();
   void Terminate(Actor node, absl::Duration restart);
--- a/standins/flow_simulation/flow_judge.cc
+++ b/standins/flow_simulation/flow_judge.cc
@@ -16,6 +16,7 @@
 /// Arrivals at other targets closer than this are copies of one packet: a
 /// client sends a packet again after 200 ms at the earliest.
 constexpr absl::Duration kCopiesSpan = absl::Milliseconds(100);
+constexpr absl::string_view kRemovedRouteReason = "no_route";
 constexpr std::array<absl::string_view, kDisruptions> kDisruptionNames = {
     "kill", "stall", "loss"};
 constexpr std::array<absl::string_view, 3> kViolationNames = {
@@ -41,6 +42,18 @@
   end = std::max(end, until);
 }
 
+void FlowJudge::OnOpening(const FlowId& flow) {
+  Flow opening;
+  opening.removed = removed_.contains(flow.service);
+  flows_.insert_or_assign(flow, opening);
+}
+
+void FlowJudge::OnRouteRemoved(Endpoint route) {
+  removed_.insert(route);
+  for (auto& [id, flow] : flows_)
+    flow.removed = flow.removed || id.service == route;
+}
+
 void FlowJudge::OnTaken(const FlowId& flow, size_t entry) {
   const auto found = flows_.find(flow);
   if (found != flows_.end())
@@ -127,7 +140,9 @@
                     const FlowId& id,
                     const Flow& flow,
                     const SentReset& reset) {
-  if (removed_.contains(id.service))
+  // Any other reason must be true for the flows of a removed route, too.
+  if (flow.removed && (kind == ViolationKind::kMisdirected ||
+                       reset.reason == kRemovedRouteReason))
     return;
   Violation violation;
   violation.kind = kind;
--- a/standins/flow_simulation/flow_judge.h
+++ b/standins/flow_simulation/flow_judge.h
@@ -68,7 +68,7 @@
   void RecordDisruption(Actor machine, Disruption kind, absl::Time until);
 
   /// A client starts to open `flow`. Replaces an earlier flow of its ports.
-  void OnOpening(const FlowId& flow) { flows_.insert_or_assign(flow, Flow()); }
+  void OnOpening(const FlowId& flow);
   /// An entry took a packet of the flow.
   void OnTaken(const FlowId& flow, size_t entry);
   /// The target has the end of the handshake.
@@ -77,8 +77,11 @@
   void OnClosed(const FlowId& flow);
   /// The target process ended with all its flows.
   void OnTargetEnded(size_t target);
-  /// A configuration without the route was confirmed.
-  void OnRouteRemoved(Endpoint route) { removed_.insert(route); }
+  /// A configuration without the route was confirmed. An entry with it may
+  /// reset the flows of the route for that reason.
+  void OnRouteRemoved(Endpoint route);
+  /// A configuration is written in which the route is back.
+  void OnRouteAdded(Endpoint route) { removed_.erase(route); }
   /// A packet of a client reached a target.
   void OnDelivered(const FlowId& flow, size_t target);
   /// A reset by a node reached the client.
@@ -99,6 +102,8 @@
   struct Flow {
     bool open = false;
     bool misdirected = false;
+    /// A configuration has removed its route.
+    bool removed = false;
     size_t target = 0;
     size_t entry = 0;
     absl::Time own_packet;
--- a/standins/flow_simulation/flow_simulation.cc
+++ b/standins/flow_simulation/flow_simulation.cc
@@ -17,8 +17,14 @@
 constexpr absl::Duration kFinishTime = absl::Seconds(4);
 constexpr absl::Duration kLongestStoreDelay = absl::Milliseconds(1500);
 constexpr absl::Duration kLongestConfigurationDelay = absl::Seconds(2);
-/// Every fourth target and every fourth route belong to the second service.
+/// Every fourth target and every fourth route belong to the second service, or
+/// every second one if routes change.
 constexpr size_t kServicePeriod = 4;
+constexpr size_t kChangedServicePeriod = 2;
+/// Kinds of changes of a route, and share of the changes that remove one.
+constexpr size_t kRouteChanges = 4;
+constexpr double kRemovalShare = 0.3;
+constexpr double kAdditionShare = 0.5;
 constexpr absl::string_view kMainService = "dispatch";
 constexpr absl::string_view kOtherService = "archive";
 constexpr uint32_t kServiceAddress = 0xc6120001;
@@ -26,12 +32,6 @@
 constexpr size_t kRoutes = 4;
 constexpr absl::Duration kIdleTimeout = absl::Seconds(10);
 
-std::string ServiceName(size_t index) {
-  return std::string(index % kServicePeriod == kServicePeriod - 1
-                         ? kOtherService
-                         : kMainService);
-}
-
 Endpoint ServiceEndpoint(size_t index) {
   return {kServiceAddress, static_cast<uint16_t>(kFirstServicePort + index)};
 }
@@ -84,7 +84,16 @@
   faults_ = std::make_unique<FaultPlan>(
       context_, entries_, agents_,
       FaultPlan::Operator{[this](double load) { SetLoad(load); },
-                          [this] { AddRoute(); }, [this] { RemoveRoute(); }});
+                          [this] { AddRoute(); }, [this] { RemoveRoute(); },
+                          [this] { ChangeRoute(); }});
+}
+
+std::string FlowSimulation::ServiceName(size_t index) const {
+  const size_t period = context_.options.faults.route_changes
+                            ? kChangedServicePeriod
+                            : kServicePeriod;
+  return std::string(index % period == period - 1 ? kOtherService
+                                                  : kMainService);
 }
 
 void FlowSimulation::SetLoad(double load) {
@@ -105,8 +114,13 @@
   table->idle_timeout = kIdleTimeout;
   for (const Endpoint& service : services_) {
     Route& route = table->routes[service];
-    route.shares = {
-        {MakeServiceUid(ServiceName(service.port - kFirstServicePort)), 1}};
+    const auto changed = shares_.find(service);
+    if (changed != shares_.end()) {
+      route.shares = changed->second;
+    } else {
+      route.shares = {
+          {MakeServiceUid(ServiceName(service.port - kFirstServicePort)), 1}};
+    }
     route.kind = RequestKind::kIdempotent;
     route.latency_objective = context_.options.objective;
     route.deadline = context_.options.deadline;
@@ -126,12 +140,51 @@
 }
 
 void FlowSimulation::RemoveRoute() {
+  if (services_.size() == 1)
+    return;
   context_.judge.OnRouteRemoved(services_.front());
   services_.erase(services_.begin());
   AddConfiguration();
   SetLoad(load_);
 }
 
+void FlowSimulation::ChangeRoute() {
+  SimulatedRandom& random = context_.random;
+  const ServiceUid main = MakeServiceUid(kMainService);
+  const ServiceUid other = MakeServiceUid(kOtherService);
+  const auto draw_shares = [&]() -> std::vector<RouteShare> {
+    switch (random.Index(kRouteChanges)) {
+      case 0:
+        return {{main, 1}};
+      case 1:
+        return {{other, 1}};
+      case 2:
+        return {{main, 0}, {other, 1}};
+      default:
+        return {{main, 1}, {other, 1}};
+    }
+  };
+  if (!removed_.empty() && random.Chance(kAdditionShare)) {
+    const Endpoint route = removed_.back();
+    removed_.pop_back();
+    context_.Log("adds a route again");
+    context_.judge.OnRouteAdded(route);
+    shares_[route] = draw_shares();
+    services_.push_back(route);
+  } else if (services_.size() > 1 && random.Chance(kRemovalShare)) {
+    const size_t index = random.Index(services_.size());
+    context_.Log("removes a route for some time");
+    context_.judge.OnRouteRemoved(services_[index]);
+    removed_.push_back(services_[index]);
+    services_.erase(services_.begin() + static_cast<ptrdiff_t>(index));
+  } else {
+    context_.Log("changes the services of a route");
+    shares_[services_[random.Index(services_.size())]] = draw_shares();
+  }
+  AddConfiguration();
+  SetLoad(load_);
+}
+
 void FlowSimulation::Run() {
   SimulatedRandom& random = context_.random;
   context_.store_delay =
--- a/standins/flow_simulation/flow_simulation.h
+++ b/standins/flow_simulation/flow_simulation.h
@@ -43,6 +43,9 @@
   void AddConfiguration();
   void AddRoute();
   void RemoveRoute();
+  /// Draws a change of one route.
+  void ChangeRoute();
+  std::string ServiceName(size_t index) const;
 
   SimulationContext context_;
   std::vector<std::unique_ptr<SimulatedEntry>> entries_;
@@ -51,7 +54,11 @@
   std::unique_ptr<SimulatedRouter> router_;
   SimulatedClients clients_;
   std::unique_ptr<FaultPlan> faults_;
+  /// Addresses of the present routes, and of those that ChangeRoute() removed.
   std::vector<Endpoint> services_;
+  std::vector<Endpoint> removed_;
+  /// Shares of the routes that ChangeRoute() changed.
+  absl::flat_hash_map<Endpoint, std::vector<RouteShare>> shares_;
   double load_ = 1.0;
   bool is_finishing_ = false;
 };
--- a/standins/flow_simulation/simulation_options.h
+++ b/standins/flow_simulation/simulation_options.h
@@ -24,6 +24,9 @@
   /// A route that is added and one that is removed.
   bool configurations = true;
   bool bursts = true;
+  /// Routes that change their services, and are removed and added again. Half
+  /// of the targets then belong to the second service.
+  bool route_changes = false;
 };
 
 struct SimulationOptions {
--- a/tools/skylarkshunt-flow-sim/main.cc
+++ b/tools/skylarkshunt-flow-sim/main.cc
@@ -141,6 +141,10 @@
       "print only seeds that break a rule");
   add("planned-only", po::bool_switch(&planned_only),
       "planned work, configurations and bursts only");
+  add("route-changes", po::bool_switch(&simulation.faults.route_changes),
+      "routes that change their services, are removed and added again");
+  add("link-bytes-per-second", po::value(&simulation.link_bytes_per_second),
+      "rate of the entries' links; slow ones search by queries");
   add("no-planned", "no planned work");
   add("no-kills", "no killed nodes");
   add("no-target-crashes", "no crashes of targets");
--- a/unittests/flow_simulation/flow_simulation_test.cc
+++ b/unittests/flow_simulation/flow_simulation_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST_SUITE(FlowSimulationTest);
   CPPUNIT_TEST(OpenFlowsAreNeitherResetNorMisdirected);
   CPPUNIT_TEST(OpenFlowsAreFoundThroughSlowLinks);
+  CPPUNIT_TEST(OpenFlowsOutliveChangesOfTheirRoutes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -34,6 +35,16 @@
     Judge(options);
   }
 
+  // Guards against resets of open flows because their routes change services or
+  // come back, and the flows move to other entries.
+  void OpenFlowsOutliveChangesOfTheirRoutes() {
+    SimulationOptions options;
+    options.faults.route_changes = true;
+    Judge(options);
+    options.link_bytes_per_second = 1'250'000;
+    Judge(options);
+  }
+
  private:
   static void Judge(SimulationOptions options) {
     std::string first;
