Let routes change in the soak

The profile routes has four routes that are split, moved to another service and back, removed and added again, beside planned restarts of entries and agents.

--- a/standins/packet_fleet/fault_injector.h
+++ b/standins/packet_fleet/fault_injector.h
@@ -102,6 +102,8 @@
   void Reload();
   void ChangeConfiguration(int change);
   void ChangeRoutes();
+  void MoveRoutes();
+  void RecordVersion(uint64_t version, const std::string& detail);
   void ReplaceTarget(size_t index);
   void Burst(absl::Duration time);
   void CrashTarget(size_t index, bool briefly);
--- a/standins/packet_fleet/fault_kinds.cc
+++ b/standins/packet_fleet/fault_kinds.cc
@@ -12,6 +12,9 @@
 constexpr int kLeastBurst = 3;
 constexpr int kBursts = 3;
 constexpr int kBriefMs = 200;
+/// Changes of routes in one series, and the time between two of them.
+constexpr int kMaxMoves = 6;
+constexpr int kMaxMoveGapMs = 1500;
 
 }  // namespace
 
@@ -42,6 +45,8 @@
       return Reload();
     case FaultKind::kChangeRoutes:
       return ChangeRoutes();
+    case FaultKind::kMoveRoutes:
+      return MoveRoutes();
     case FaultKind::kTerminateInDrain: {
       const size_t agent = DrawAgent();
       if (target_pending_[agent] > 0)
@@ -177,9 +182,13 @@
   } else {
     version = fleet_.ChangeConfiguration();
   }
+  RecordVersion(version, absl::StrCat("change ", change));
+}
+
+void FaultInjector::RecordVersion(uint64_t version, const std::string& detail) {
   if (version == 0)
     return;
-  Record("configuration", absl::StrCat(version, " change ", change));
+  Record("configuration", absl::StrCat(version, " ", detail));
   versions_.push_back({version, MonotonicNow()});
 }
 
@@ -193,6 +202,17 @@
   }
 }
 
+void FaultInjector::MoveRoutes() {
+  const int moves = 1 + static_cast<int>(random_() % kMaxMoves);
+  absl::Time time = MonotonicNow();
+  for (int i = 0; i < moves; ++i) {
+    At(time, false, [this, draw = static_cast<uint32_t>(random_())] {
+      RecordVersion(fleet_.MoveRoute(draw), absl::StrCat("move ", draw));
+    });
+    time += Draw(kBriefMs / 4, kMaxMoveGapMs);
+  }
+}
+
 void FaultInjector::ReplaceTarget(size_t index) {
   if (target_pending_[index] > 0)
     return;
--- a/standins/packet_fleet/flow_target.cc
+++ b/standins/packet_fleet/flow_target.cc
@@ -225,8 +225,10 @@
     altered_.fetch_add(1);
     return;
   }
-  if (parts[1] != options_.service)
+  const bool any = parts[1] == kAnyService;
+  if (!any && parts[1] != options_.service)
     misrouted_.fetch_add(1);
+  flow.service = any ? kAnyService : options_.service;
   flow.keep = parts.size() > 2;
   if (waiting_.size() >= options_.queue) {
     Answer(id, flow, " busy");
@@ -253,7 +255,7 @@
 }
 
 void FlowTarget::Answer(const FlowId& id, Flow& flow, const char* suffix) {
-  flow.answer = absl::StrCat(flow.request, " ", options_.service, suffix);
+  flow.answer = absl::StrCat(flow.request, " ", flow.service, suffix);
   flow.sequence = flow.next_sequence;
   flow.next_sequence += static_cast<uint32_t>(flow.answer.size());
   flow.unacknowledged = true;
--- a/standins/packet_fleet/flow_target.h
+++ b/standins/packet_fleet/flow_target.h
@@ -21,6 +21,9 @@
 
 namespace skylarkshunt {
 
+/// Service that clients ask for on routes that change their services.
+inline constexpr char kAnyService[] = "any";
+
 /// A target as the platform's protocol describes it: grants flows, runs the
 /// requests of each flow one after another, as many at once as it has slots,
 /// returns packets of flows that it does not hold, and reports itself to the
@@ -92,6 +95,8 @@
     bool closing = false;
     bool unacknowledged = false;
     bool ended = false;
+    /// Service that the client asked for.
+    std::string service;
     std::string answer;
     int sent = 0;
     absl::Time next;
--- a/standins/packet_fleet/packet_fleet.cc
+++ b/standins/packet_fleet/packet_fleet.cc
@@ -111,6 +111,25 @@
   return configuration_.Write(store_->core());
 }
 
+uint64_t PacketFleet::MoveRoute(uint32_t draw) {
+  const FleetConfiguration before = configuration_;
+  const RouteMove move = configuration_.MoveRoute(draw);
+  if (move.kind == RouteMove::Kind::kRemoved) {
+    clients_->SetRoutes(configuration_.routes());
+    ledger_.RecordRouteRemoved(move.address, MonotonicNow());
+  }
+  const uint64_t version = configuration_.Write(store_->core());
+  if (move.kind != RouteMove::Kind::kAdded)
+    return version;
+  if (version == 0) {
+    configuration_ = before;
+    return 0;
+  }
+  ledger_.RecordRouteAdded(move.address);
+  clients_->SetRoutes(configuration_.routes());
+  return version;
+}
+
 uint64_t PacketFleet::VersionInForce(size_t index) const {
   HttpCall call;
   call.server = {nodes_[index].data.address, kPeerPort};
--- a/standins/packet_fleet/packet_fleet.h
+++ b/standins/packet_fleet/packet_fleet.h
@@ -32,6 +32,8 @@
     /// Mean time of a request at a target, and its slots.
     absl::Duration work_time = absl::Milliseconds(15);
     size_t slots = 4;
+    /// Routes that MoveRoute() changes.
+    size_t moving_routes = 0;
     uint32_t seed = 1;
     /// Time until requests are answered.
     absl::Duration start_limit = absl::Seconds(20);
@@ -71,6 +73,9 @@
   uint64_t AddRoute();
   /// As above with one route less; clients open no more flows with it.
   uint64_t RemoveRoute();
+  /// As above with a random change of a route that keeps its address.
+  /// Precondition: there are moving routes.
+  uint64_t MoveRoute(uint32_t draw);
   size_t added_routes() const { return configuration_.added(); }
   /// Version of the configuration in force at a node; 0 without an answer.
   uint64_t VersionInForce(size_t index) const;
@@ -79,7 +84,8 @@
   const Options& options() const { return options_; }
 
  private:
-  explicit PacketFleet(const Options& options) : options_(options) {}
+  explicit PacketFleet(const Options& options)
+      : options_(options), configuration_(options.moving_routes) {}
 
   Result<void> StartStore();
   Result<void> AddNode(int number, int target);
--- a/standins/packet_fleet/soak_profile.cc
+++ b/standins/packet_fleet/soak_profile.cc
@@ -12,6 +12,7 @@
 constexpr absl::Duration kLargeWork = absl::Milliseconds(200);
 constexpr int kUsualKeptPercent = 10;
 constexpr int kKeptPercent = 25;
+constexpr size_t kMovingRoutes = 4;
 
 const std::vector<FaultKind>& PlannedSeries() {
   static const auto* const kinds = new std::vector<FaultKind>{
@@ -76,6 +77,20 @@
   return profile;
 }
 
+/// Routes that change their services, come and go, while the flows move to
+/// other entries. Nothing unplanned excuses a reset.
+SoakProfile MakeRoutes() {
+  SoakProfile profile;
+  profile.planned = {FaultKind::kMoveRoutes,    FaultKind::kMoveRoutes,
+                     FaultKind::kMoveRoutes,    FaultKind::kTerminate,
+                     FaultKind::kTerminateMany, FaultKind::kRollEntries,
+                     FaultKind::kRollAgents};
+  profile.max_absence_ms = 800;
+  profile.overlapping = true;
+  profile.moving_routes = kMovingRoutes;
+  return profile;
+}
+
 }  // namespace
 
 Result<SoakProfile> SoakProfile::Find(absl::string_view name) {
@@ -88,10 +103,12 @@
     profile = MakeRolls();
   } else if (name == "changes") {
     profile = MakeChanges();
+  } else if (name == "routes") {
+    profile = MakeRoutes();
   } else {
     return MakeError(ErrorKind::kInvalidArgument,
                      absl::StrCat("no profile \"", std::string(name), "\""),
-                     "choose usual, overlap, rolls, large or changes");
+                     "choose usual, overlap, rolls, large, changes or routes");
   }
   profile.name = std::string(name);
   return profile;
@@ -99,6 +116,7 @@
 
 void SoakProfile::SetLoad(PacketFleet::Options& fleet) const {
   fleet.kept_percent = overlapping ? kKeptPercent : kUsualKeptPercent;
+  fleet.moving_routes = moving_routes;
   if (!overlapping)
     return;
   fleet.work_time = name == "large" ? kLargeWork : kBusyWork;
--- a/standins/packet_fleet/soak_profile.h
+++ b/standins/packet_fleet/soak_profile.h
@@ -21,6 +21,7 @@
   kRollAgents,
   kReload,
   kChangeRoutes,
+  kMoveRoutes,
   kTerminateInDrain,
   kReplaceTarget,
   kBurst,
@@ -54,11 +55,13 @@
   /// Whether the unplanned fault of an entry excuses the resets of flows whose
   /// packets it took, as the platform's rules say.
   bool entry_faults_excuse = true;
+  /// Routes that change their services, are removed and added again.
+  size_t moving_routes = 0;
   /// Least share of requests that is answered after the faults.
   double least_served = 0.97;
 
-  /// Returns the profile usual, overlap, rolls, large or changes. Errors:
-  /// kInvalidArgument. Thread-safe.
+  /// Returns the profile usual, overlap, rolls, large, changes or routes.
+  /// Errors: kInvalidArgument. Thread-safe.
   static Result<SoakProfile> Find(absl::string_view name);
 
   /// Sets the load of the profile. Thread-safe.
--- a/tools/skylarkshunt-soak/main.cc
+++ b/tools/skylarkshunt-soak/main.cc
@@ -115,9 +115,10 @@
       "requests-per-second", po::value(&settings.requests_per_second),
       "new flows per second outside bursts")(
       "profile", po::value(&settings.profile),
-      "usual, overlap, rolls or large: which faults, and how they overlap")(
-      "work", po::value(&settings.work), "folder for settings and logs")(
-      "help", "print this text");
+      "usual, overlap, rolls, large, changes or routes: which faults, and "
+      "how they overlap")("work", po::value(&settings.work),
+                          "folder for settings and logs")("help",
+                                                          "print this text");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, options), values);
