Look for a flow everywhere before a started entry lets targets have its packet

An entry that started after a route changed does not know the services that the route named before. It let agents of the present service that had been restarted beside their targets pass the packets of a flow to these, before it asked the agent of the former service that held the flow.

StartedEntryFindsAFlowOfAServiceThatItNeverKnew now expects the query of all services with the first packet, and failed before. forwarding_test passes (194 tests).

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -259,6 +259,11 @@
                   absl::Span<const uint8_t> packet,
                   absl::Time now,
                   EntryActions& actions);
+  /// Puts the agents of `service` that the stage of the search concerns into
+  /// `queried_`.
+  void SelectAgents(const Search& search,
+                    const FlowId& flow,
+                    ServiceUid service);
   /// Sends `message` to the agents in `queried_`. Unless `must_answer`, the
   /// search does not wait for them.
   void QueryAgents(Search& search,
@@ -267,6 +272,12 @@
                    bool must_answer,
                    absl::Time now,
                    EntryActions& actions);
+  /// Whether the candidates of services that the route never named are queried
+  /// at once, since the former services are not known. Targets get no packet
+  /// before these could answer.
+  bool QueriesOthersFirst(const Search& search,
+                          absl::Span<const ServiceUid> services,
+                          absl::Time now) const;
   /// Whether a reset needs the answers of the agents of services that the route
   /// never named.
   bool MustOthersAnswer(const Search& search, absl::Time now) const;
--- a/lib/forwarding/entry_queries.cc
+++ b/lib/forwarding/entry_queries.cc
@@ -208,6 +208,7 @@
   const bool may_hold = std::find(services.begin(), services.end(),
                                   answer.agent.service) != services.end();
   if (!may_hold || search.held.empty() || IsHolderMissing(services, now) ||
+      QueriesOthersFirst(search, services, now) ||
       !search.probed.insert(answer.agent.uid).second) {
     return;
   }
--- a/lib/forwarding/entry_search.cc
+++ b/lib/forwarding/entry_search.cc
@@ -99,35 +99,47 @@
   message.packet = packet;
   const std::vector<ServiceUid> services =
       former_services_.Find(flow.service, route, now);
-  message.known_only = IsHolderMissing(services, now);
+  message.known_only = IsHolderMissing(services, now) ||
+                       QueriesOthersFirst(search, services, now);
   for (const ServiceUid service : services) {
-    const absl::Span<AgentView* const> agents =
-        agents_.AgentsOfService(service);
-    queried_.clear();
-    if (search.stage == SearchStage::kCandidates) {
-      AppendCandidates(agents, StableFlowHash(flow), data_centre_,
-                       kSearchedPerSide, queried_);
-    } else {
-      queried_.assign(agents.begin(), agents.end());
-    }
     message.service = service;
+    SelectAgents(search, flow, service);
     QueryAgents(search, flow, message, true, now, actions);
   }
-  if (search.stage != SearchStage::kOtherServices)
+  if (search.stage != SearchStage::kOtherServices &&
+      !QueriesOthersFirst(search, services, now))
     return;
   // The target of another service must not get the packet unless its agent
   // knows the flow.
   message.known_only = true;
   for (const ServiceUid service : OtherServices(services)) {
-    const absl::Span<AgentView* const> agents =
-        agents_.AgentsOfService(service);
-    queried_.assign(agents.begin(), agents.end());
     message.service = service;
+    SelectAgents(search, flow, service);
     QueryAgents(search, flow, message, MustOthersAnswer(search, now), now,
                 actions);
   }
 }
 
+void EntryForwarder::SelectAgents(const Search& search,
+                                  const FlowId& flow,
+                                  ServiceUid service) {
+  const absl::Span<AgentView* const> agents = agents_.AgentsOfService(service);
+  queried_.clear();
+  if (search.stage == SearchStage::kCandidates) {
+    AppendCandidates(agents, StableFlowHash(flow), data_centre_,
+                     kSearchedPerSide, queried_);
+  } else {
+    queried_.assign(agents.begin(), agents.end());
+  }
+}
+
+bool EntryForwarder::QueriesOthersFirst(const Search& search,
+                                        absl::Span<const ServiceUid> services,
+                                        absl::Time now) const {
+  return search.stage == SearchStage::kCandidates &&
+         !former_services_.IsComplete(now) && !OtherServices(services).empty();
+}
+
 bool EntryForwarder::MustOthersAnswer(const Search& search,
                                       absl::Time now) const {
   return search.stage != SearchStage::kOtherServices ||
@@ -149,9 +161,10 @@
   std::vector<ServiceUid> others;
   size_t agents = 0;
   for (const ServiceUid service : agents_.Services()) {
-    if (Contains(services, service))
+    const size_t size = agents_.AgentsOfService(service).size();
+    if (size == 0 || Contains(services, service))
       continue;
-    agents += agents_.AgentsOfService(service).size();
+    agents += size;
     others.push_back(service);
   }
   if (agents > kMaxOtherAgents)
