Send one packet only to an agent that has not answered queries

An agent that did not answer the first round of queries was taken for one of the previous release in each of the three rounds that follow, and got the flow's first packet three times. After a start of the entry no agent has answered yet, so that late or lost answers made it send packets to all agents, and to their targets. Such an agent now gets one packet in the round after the unanswered query, and further queries.

--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -196,8 +196,8 @@
     int rounds = 0;
     /// Time of the next round; the infinite future if there is none.
     absl::Time next_round = absl::InfiniteFuture();
-    /// Agents whose target got the first held packet, since only the target can
-    /// tell whether it holds the flow.
+    /// Agents that got the first held packet, since only their target can tell
+    /// whether it holds the flow, or since they ignore queries.
     absl::flat_hash_set<InstanceUid> probed;
   };
 
@@ -303,7 +303,7 @@
                        EntryActions& actions);
   void ScheduleQueryRound(Search& search, const FlowId& flow, absl::Time at);
   /// Sends the queries of a round to the agents in `queried_`.
-  void SendQueries(const Search& search,
+  void SendQueries(Search& search,
                    const FlowId& flow,
                    const ForwardedPacket& message,
                    absl::Time now,
--- a/lib/forwarding/entry_queries.cc
+++ b/lib/forwarding/entry_queries.cc
@@ -150,7 +150,7 @@
   }
 }
 
-void EntryForwarder::SendQueries(const Search& search,
+void EntryForwarder::SendQueries(Search& search,
                                  const FlowId& flow,
                                  const ForwardedPacket& message,
                                  absl::Time now,
@@ -162,10 +162,13 @@
   for (const AgentView* agent : queried_) {
     if (search.denied.contains(agent->identity.uid))
       continue;
-    // An agent of an earlier release ignores queries.
-    const bool ignores_queries = search.rounds > 1 && !agent->answers_queries &&
+    // An agent of an earlier release ignores queries. One packet shows that;
+    // further ones would go to all agents if the answers are late.
+    const bool ignores_queries = search.queried.contains(agent->identity.uid) &&
+                                 !agent->answers_queries &&
                                  IsResponsive(*agent, now);
-    if (ignores_queries && !search.held.empty()) {
+    if (ignores_queries && !search.held.empty() &&
+        search.probed.insert(agent->identity.uid).second) {
       ForwardedPacket probe = message;
       probe.packet = search.held.front();
       query_share_.Charge(probe.packet.size() + kForwardOverheadBytes, now);
--- a/unittests/forwarding/former_services_test.cc
+++ b/unittests/forwarding/former_services_test.cc
@@ -117,6 +117,7 @@
     SetRoute(2, {{kNew, 1}});
     Pass(kSettled);
     Search();
+    CPPUNIT_ASSERT(!IsUnclear(3));
     Deny({1, 2});
     Pass(absl::Milliseconds(200));
     Search();
--- a/unittests/forwarding/node_codec_test.cc
+++ b/unittests/forwarding/node_codec_test.cc
@@ -40,7 +40,16 @@
   RefusalReport refusals;
   refusals.data_centre = 3;
   refusals.requests = {{0x64400007, {0xc6120001, 443}, 250, 1}};
-  return {agent, entry, forwarded, returned, placed, refusals};
+  FlowQuery query;
+  query.flow = FlowPackets().flow();
+  query.acknowledges = true;
+  query.acknowledged = 9001;
+  QueryAnswer answer;
+  answer.agent = MakeIdentity();
+  answer.load = agent.load;
+  answer.flow = FlowPackets().flow();
+  answer.outcome = QueryAnswer::Outcome::kNotHeld;
+  return {agent, entry, forwarded, returned, placed, refusals, query, answer};
 }
 
 class NodeCodecTest : public CppUnit::TestFixture {
@@ -50,6 +59,8 @@
   CPPUNIT_TEST(TruncatedMessagesAreRejected);
   CPPUNIT_TEST(SurplusBytesAndOtherVersionsAreRejected);
   CPPUNIT_TEST(RefusalReportIsBounded);
+  CPPUNIT_TEST(QueriesAndAnswersKeepTheirMeaning);
+  CPPUNIT_TEST(UnknownOutcomeIsRejected);
   CPPUNIT_TEST(RandomBytesDoNotCrashTheDecoder);
   CPPUNIT_TEST_SUITE_END();
 
@@ -143,6 +154,51 @@
     CPPUNIT_ASSERT(!DecodeNodeMessage(bytes).has_value());
   }
 
+  // Guards against a flow that is denied for another one, or by an agent that
+  // cannot tell.
+  void QueriesAndAnswersKeepTheirMeaning() {
+    for (const bool acknowledges : {true, false}) {
+      FlowQuery query;
+      query.flow = FlowPackets(4711).flow();
+      query.acknowledges = acknowledges;
+      query.acknowledged = 0xfedcba98;
+      std::vector<uint8_t> bytes;
+      EncodeNodeMessage(query, bytes);
+      const NodeMessage message = DecodeNodeMessage(bytes).value();
+      const auto& read = std::get<FlowQuery>(message);
+      CPPUNIT_ASSERT(read.flow == query.flow);
+      CPPUNIT_ASSERT_EQUAL(acknowledges, read.acknowledges);
+      CPPUNIT_ASSERT_EQUAL(query.acknowledged, read.acknowledged);
+    }
+    for (const auto outcome :
+         {QueryAnswer::Outcome::kNotHeld, QueryAnswer::Outcome::kUnclear}) {
+      QueryAnswer answer;
+      answer.agent = MakeIdentity();
+      answer.load = {4, 2, 17, 25'000, 310, InstanceState::kDraining};
+      answer.flow = FlowPackets(4711).flow();
+      answer.outcome = outcome;
+      std::vector<uint8_t> bytes;
+      EncodeNodeMessage(answer, bytes);
+      const NodeMessage message = DecodeNodeMessage(bytes).value();
+      const auto& read = std::get<QueryAnswer>(message);
+      CPPUNIT_ASSERT(read.outcome == outcome);
+      CPPUNIT_ASSERT(read.flow == answer.flow);
+      CPPUNIT_ASSERT(read.agent.uid == answer.agent.uid);
+      CPPUNIT_ASSERT(read.agent.incarnation == answer.agent.incarnation);
+      CPPUNIT_ASSERT(read.agent.service == answer.agent.service);
+      CPPUNIT_ASSERT(read.load.state == InstanceState::kDraining);
+    }
+  }
+
+  // Guards against an outcome of a later release that is taken for a denial.
+  void UnknownOutcomeIsRejected() {
+    std::vector<uint8_t> bytes;
+    EncodeNodeMessage(QueryAnswer(), bytes);
+    CPPUNIT_ASSERT(DecodeNodeMessage(bytes).has_value());
+    bytes.back() = 2;
+    CPPUNIT_ASSERT(!DecodeNodeMessage(bytes).has_value());
+  }
+
   void RandomBytesDoNotCrashTheDecoder() {
     std::vector<uint8_t> valid;
     EncodeNodeMessage(OneOfEach()[0], valid);
@@ -153,7 +209,7 @@
         byte = static_cast<uint8_t>(random());
       if (bytes.size() > 2) {
         bytes[0] = valid[0];
-        bytes[1] = static_cast<uint8_t>(1 + random() % 6);
+        bytes[1] = static_cast<uint8_t>(1 + random() % 8);
       }
       static_cast<void>(DecodeNodeMessage(bytes));
     }
