Report a flow to its searching entry as soon as the target answers

After all nodes restart beside running targets, an agent cannot tell whether its target holds a flow, so that the target gets one packet of it. The entry learned of the answer only in its next round of queries, 60 to 240 ms later, or with the client's next packet. The agent now reports the flow when the target answers.

--- a/include/skylarkshunt/forwarding/agent_forwarder.h
+++ b/include/skylarkshunt/forwarding/agent_forwarder.h
@@ -263,6 +263,9 @@
   /// Flows that the target does not hold, with the time at which it returned a
   /// packet of them.
   absl::flat_hash_map<FlowId, absl::Time> not_held_;
+  /// Flows without state here whose packet went to the target, with the entry
+  /// that searches for them.
+  absl::flat_hash_map<FlowId, Endpoint> probes_;
   std::vector<Delivery> deliveries_;
   uint32_t next_token_ = 1;
   std::deque<Unanswered> unanswered_;
--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -13,6 +13,9 @@
 constexpr size_t kMaxDeliveries = 4'096;
 /// Maximum number of flows recorded as not held.
 constexpr size_t kMaxNotHeld = 8'192;
+/// Maximum number of flows whose packet the target got although no flow was
+/// known. The entries of further ones search again.
+constexpr size_t kMaxProbes = 4'096;
 /// Timeout of a target for an opening packet. A running target answers within a
 /// millisecond, and the client's first retransmission arrives after 200 ms.
 constexpr absl::Duration kOpeningTimeout = absl::Milliseconds(80);
@@ -265,8 +268,11 @@
     const absl::optional<NotHeldEvidence> evidence = EvidenceAgainst(id, now);
     if (evidence.has_value())
       ReturnNotHeld(delivery, *evidence, forwarded.packet, now, actions);
-    else if (!forwarded.known_only)
+    else if (!forwarded.known_only) {
+      if (forwarded.mode == ForwardMode::kSearch && probes_.size() < kMaxProbes)
+        probes_[id] = entry;
       Deliver(std::move(delivery), forwarded.packet, actions);
+    }
     return;
   }
   if (other) {
@@ -337,6 +343,12 @@
   } else if (!header.reset) {
     flows_.Adopt(id, header, now);
     not_held_.erase(id);
+    // The entry need not search any longer.
+    const auto probe = probes_.find(id);
+    if (probe != probes_.end()) {
+      ReportPlaced(id, probe->second, now, actions);
+      probes_.erase(probe);
+    }
     // A waiting retransmission must not refuse the flow.
     if (header.opening)
       queue_.Remove(id);
@@ -575,6 +587,8 @@
   if (now < next_sweep_)
     return;
   next_sweep_ = now + kSweepInterval;
+  // A target answers or returns a packet within a millisecond.
+  probes_.clear();
   flows_.Sweep(now);
   absl::erase_if(not_held_, [now](const auto& entry) {
     return now - entry.second > kNotHeldLifetime;
--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -541,8 +541,7 @@
   if (flows_.size() >= kMaxCachedFlows && !flows_.contains(flow))
     return nullptr;
   CachedFlow& cached =
-      flows_
-          .try_emplace(flow, CachedFlow{agent, now, now, {now, 0}, false, {}})
+      flows_.try_emplace(flow, CachedFlow{agent, now, now, {now, 0}, false, {}})
           .first->second;
   cached.agent = agent;
   cached.used = now;
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(HangingRequestsOfAFailingTargetAreReported);
   CPPUNIT_TEST(WaitingDuringPeakLoadIsNoFailure);
   CPPUNIT_TEST(ResetNamesTheAgeOfTheFlow);
+  CPPUNIT_TEST(SearchingEntryLearnsOfAFlowThatItsTargetAnswers);
   CPPUNIT_TEST(NotHeldAnswersAreCountedByEvidence);
   CPPUNIT_TEST(PendingWorkIsReportedUntilTheTargetRestarts);
   CPPUNIT_TEST_SUITE_END();
@@ -274,6 +275,7 @@
     const uint32_t token = actions_.to_target[1].return_token;
     actions_.Clear();
     agent_.OnTargetPacket(held.Answer(false), kPacketBytes, now_, actions_);
+    actions_.to_entries.clear();
     agent_.OnTargetPacket(FlowPackets::Returned(other.Request(), token),
                           kPacketBytes, now_, actions_);
     CPPUNIT_ASSERT(ReturnedToEntry().reason == ReturnReason::kNotHeld);
@@ -502,6 +504,28 @@
     CPPUNIT_ASSERT(actions_.resets.empty());
   }
 
+  // All nodes restart beside running targets. Guards against an entry that
+  // holds the client's packets until its next round of queries, although the
+  // target has answered the first one.
+  void SearchingEntryLearnsOfAFlowThatItsTargetAnswers() {
+    agent_.OnTargetReport(MakeReport(40), now_, actions_);
+    const FlowPackets flow;
+    actions_.Clear();
+    agent_.OnForwarded(Forward(ForwardMode::kSearch), flow.Request(), kEntry,
+                       now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_target.size());
+    CPPUNIT_ASSERT(actions_.to_entries.empty());
+    actions_.Clear();
+    for (int packet = 0; packet < 2; ++packet) {
+      agent_.OnTargetPacket(flow.Answer(false), kPacketBytes, now_, actions_);
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_entries.size());
+    }
+    CPPUNIT_ASSERT(actions_.to_entries[0].entry == kEntry);
+    const auto* placed =
+        std::get_if<FlowPlaced>(&actions_.to_entries[0].message);
+    CPPUNIT_ASSERT(placed != nullptr && placed->flow == flow.flow());
+  }
+
   // Guards against a reset whose decision does not show that the flow may
   // belong to the target's next incarnation.
   void ResetNamesTheAgeOfTheFlow() {
