Test that an entry without the store uses the set of a peer

Cause: only the decision was tested, not the messages between two entries.

Change: a test with an entry process, a store that rejects its calls, and a peer that reports an evacuation.

--- a/unittests/node/evacuation_test.cc
+++ b/unittests/node/evacuation_test.cc
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(OddObjectsLeaveTheOthersInUse);
   CPPUNIT_TEST(UnavailableStoreIsReportedAndQueriedAgain);
   CPPUNIT_TEST(EntryPlacesNoFlowInTheDataCentre);
+  CPPUNIT_TEST(EntryWithoutTheStoreUsesTheSetOfAPeer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -210,13 +211,6 @@
   // the agent that gets a client's packet. The entry starts during the
   // evacuation and restarts within it.
   void EntryPlacesNoFlowInTheDataCentre() {
-    store_->core().Write(
-        "config/main",
-        R"({"version":1,"routes":[{"name":"a","host":"198.18.0.1",)"
-        R"("path-prefix":"/443/","kind":"idempotent","timeout-ms":2500,)"
-        R"("priority":1,"service":"x"}],"services":[{"name":"x",)"
-        R"("health-path":"/h","max-conns":9}],"limits":{}})",
-        0);
     const uint64_t revision = Evacuate("zone-a");
     for (int start = 0; start < 2; ++start) {
       StartEntry();
@@ -232,6 +226,34 @@
     AwaitMetric("reason=\"evacuated\"}");
   }
 
+  // Guards against entries that do not exchange their sets: the store rejects
+  // the calls of this entry only.
+  void EntryWithoutTheStoreUsesTheSetOfAPeer() {
+    UdpSocket peer =
+        std::move(UdpSocket::Bind({kAddress + 1, kPeers.port}).value());
+    StartEntry();
+    CPPUNIT_ASSERT_EQUAL(std::string("zone-a"), PlaceFlow());
+    store_->core().SetFault({FaultMode::kDown});
+    EvacuationReport report;
+    report.set = {Revision{1'000'000}, {HashOf("zone-a")}};
+    std::vector<uint8_t> bytes;
+    EncodeNodeMessage(EntryReport(), bytes);
+    peer.Send(kPeers, bytes);
+    EncodeNodeMessage(report, bytes);
+    peer.Send(kPeers, bytes);
+    AwaitMetric("skylarkshunt_evacuated_data_centres 1");
+    CPPUNIT_ASSERT_EQUAL(std::string("zone-b"), PlaceFlow());
+    // The entry reports the set in turn.
+    bool is_reported = false;
+    while (absl::optional<Datagram> datagram = peer.Receive()) {
+      const NodeMessage message = DecodeNodeMessage(datagram->bytes).value();
+      const auto* sent = std::get_if<EvacuationReport>(&message);
+      is_reported = is_reported || (sent != nullptr &&
+                                    sent->set.revision == report.set.revision);
+    }
+    CPPUNIT_ASSERT(is_reported);
+  }
+
  private:
   struct Agent {
     std::string zone;
@@ -284,6 +306,13 @@
   /// Starts the entry, or starts it again.
   void StartEntry() {
     node_.reset();
+    store_->core().Write(
+        "config/main",
+        R"({"version":1,"routes":[{"name":"a","host":"198.18.0.1",)"
+        R"("path-prefix":"/443/","kind":"idempotent","timeout-ms":2500,)"
+        R"("priority":1,"service":"x"}],"services":[{"name":"x",)"
+        R"("health-path":"/h","max-conns":9}],"limits":{}})",
+        0);
     counters_ = std::make_unique<CounterRegistry>();
     NodeProcess::Options options;
     options.node.role = Role::kEntry;
