Count no retransmission as a request after a restart of the agent

Cause: an agent that takes over a flow from a packet of its target does not know what the client has sent. The first data packet of the client counted as a request, also the retransmission of one that the target had answered. No answer came for it, and the slot counted as occupied until the client's next request. An agent logged busy=13 of 2 slots and accepted no flow for 9 s.

Fix: the target's packet acknowledges what it has, so that only later data is a request. RetransmissionAfterARestartIsNoRequest failed before (busy 1 instead of 0); forwarding_test passes (264 tests).

--- a/lib/forwarding/agent_flows.cc
+++ b/lib/forwarding/agent_flows.cc
@@ -96,6 +96,11 @@
   flow.phase = Phase::kOpen;
   flow.confirmed = true;
   ExtendTargetRange(flow, header);
+  // The target has what it acknowledges and may have answered it already, so
+  // that a retransmission of it is no request. The outcome is unknown.
+  flow.client_next = header.acknowledged;
+  flow.client_next_known = header.acknowledges;
+  flow.timed_out = true;
 }
 
 void AgentFlows::RecordGrant(Flow& flow,
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(WaitingDuringPeakLoadIsNoFailure);
   CPPUNIT_TEST(ResetNamesTheAgeOfTheFlow);
   CPPUNIT_TEST(SearchingEntryLearnsOfAFlowThatItsTargetAnswers);
+  CPPUNIT_TEST(RetransmissionAfterARestartIsNoRequest);
   CPPUNIT_TEST(NotHeldAnswersAreCountedByEvidence);
   CPPUNIT_TEST(PendingWorkIsReportedUntilTheTargetRestarts);
   CPPUNIT_TEST_SUITE_END();
@@ -526,6 +527,26 @@
     CPPUNIT_ASSERT(placed != nullptr && placed->flow == flow.flow());
   }
 
+  // An agent restarts beside its running target, and a client that missed an
+  // answer sends its request again. Guards against slots that count as occupied
+  // by requests that the target has answered.
+  void RetransmissionAfterARestartIsNoRequest() {
+    agent_.OnTargetReport(MakeReport(40), now_, actions_);
+    const FlowPackets flow;
+    PacketHeader answer = flow.Answer(false);
+    answer.acknowledged = flow.Request().sequence + 200;
+    agent_.OnTargetPacket(answer, kPacketBytes, now_, actions_);
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished), flow.Request(),
+                       kEntry, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(uint16_t{0}, agent_.load(now_).busy);
+    const uint32_t next = answer.acknowledged;
+    agent_.OnForwarded(Forward(ForwardMode::kEstablished),
+                       flow.Request(9001, next), kEntry, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(uint16_t{1}, agent_.load(now_).busy);
+    agent_.OnTargetPacket(answer, kPacketBytes, now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(uint16_t{0}, agent_.load(now_).busy);
+  }
+
   // Guards against a reset whose decision does not show that the flow may
   // belong to the target's next incarnation.
   void ResetNamesTheAgeOfTheFlow() {
