--- a/include/skylarkshunt/forwarding/entry_forwarder.h
+++ b/include/skylarkshunt/forwarding/entry_forwarder.h
@@ -285,10 +285,6 @@
   /// the agent that holds it may be missing.
   bool IsHolderMissing(absl::Span<const ServiceUid> services,
                        absl::Time now) const;
-  /// The same for all services that may hold a flow of the route, whose present
-  /// and former services are `services`.
-  bool IsAnyHolderMissing(absl::Span<const ServiceUid> services,
-                          absl::Time now) const;
   /// Handles a packet of an unknown flow on a slow link.
   void SearchByQueries(const Route& route,
                        const FlowId& flow,
--- a/lib/forwarding/entry_queries.cc
+++ b/lib/forwarding/entry_queries.cc
@@ -205,13 +205,12 @@
   }
   // One packet is enough: the target answers or returns it, and then the agent
   // can tell. The target of a service that never served the route must not get
-  // it. If the former services are not known, any one may have served it.
+  // it.
   const std::vector<ServiceUid> services =
       former_services_.Find(answer.flow.service, *route, now);
-  const bool may_hold = !former_services_.IsComplete(now) ||
-                        std::find(services.begin(), services.end(),
+  const bool may_hold = std::find(services.begin(), services.end(),
                                   answer.agent.service) != services.end();
-  if (!may_hold || search.held.empty() || IsAnyHolderMissing(services, now) ||
+  if (!may_hold || search.held.empty() || IsHolderMissing(services, now) ||
       QueriesOthersFirst(search, services, now) ||
       !search.probed.insert(answer.agent.uid).second) {
     return;
--- a/lib/forwarding/entry_search.cc
+++ b/lib/forwarding/entry_search.cc
@@ -71,13 +71,8 @@
 }
 
 void EntryForwarder::WidenUnanswered(Search& search, absl::Time now) const {
-  if (search.stage == SearchStage::kOtherServices)
-    return;
-  if (!former_services_.IsComplete(now)) {
-    // The targets of the route must not get packets long before the others.
-    search.stage = SearchStage::kAllAgents;
-    WidenSearch(search, now);
-  } else if (search.stage == SearchStage::kCandidates) {
+  if (search.stage == SearchStage::kCandidates ||
+      !former_services_.IsComplete(now)) {
     WidenSearch(search, now);
   }
 }
@@ -104,8 +99,8 @@
   message.packet = packet;
   const std::vector<ServiceUid> services =
       former_services_.Find(flow.service, route, now);
-  message.known_only = QueriesOthersFirst(search, services, now) ||
-                       IsAnyHolderMissing(services, now);
+  message.known_only = IsHolderMissing(services, now) ||
+                       QueriesOthersFirst(search, services, now);
   for (const ServiceUid service : services) {
     message.service = service;
     SelectAgents(search, flow, service);
@@ -114,9 +109,9 @@
   if (search.stage != SearchStage::kOtherServices &&
       !QueriesOthersFirst(search, services, now))
     return;
-  // If the former services are known, the target of another service must not
-  // get the packet unless its agent knows the flow.
-  message.known_only = message.known_only || former_services_.IsComplete(now);
+  // The target of another service must not get the packet unless its agent
+  // knows the flow.
+  message.known_only = true;
   for (const ServiceUid service : OtherServices(services)) {
     message.service = service;
     SelectAgents(search, flow, service);
@@ -125,13 +120,6 @@
   }
 }
 
-bool EntryForwarder::IsAnyHolderMissing(absl::Span<const ServiceUid> services,
-                                        absl::Time now) const {
-  return IsHolderMissing(services, now) ||
-         (!former_services_.IsComplete(now) &&
-          IsHolderMissing(OtherServices(services), now));
-}
-
 void EntryForwarder::SelectAgents(const Search& search,
                                   const FlowId& flow,
                                   ServiceUid service) {
