Spare young flows of a removed route for the longest bound on changes

An entry that has only the removal of a route resets a flow once a newer version, by which another entry may have opened it, must have come. It assumed 4 s; the deployments allow 3 to 6 s for a change. It now waits 7 s.

--- a/lib/forwarding/entry_forwarder.cc
+++ b/lib/forwarding/entry_forwarder.cc
@@ -26,8 +26,8 @@
 /// Packets of further ones are dropped instead of reset.
 constexpr size_t kMaxUnroutedFlows = 4'096;
 /// Time by which all entries use a version that one of them uses. The bound of
-/// the deployments is 3 s.
-constexpr absl::Duration kVersionSpread = absl::Seconds(4);
+/// the deployments is 3 to 6 s.
+constexpr absl::Duration kVersionSpread = absl::Seconds(7);
 /// Time for which a flow without a route is recorded.
 constexpr absl::Duration kUnroutedLifetime = absl::Seconds(30);
 /// Time since an agent's last message after which a retransmitted opening
