Report no flow to a searching entry for a repeated grant

An agent reported a flow to the entry that searches for it as soon as its target answered a probe, also where the answer was the repeated grant of a target that the client had not chosen. The entry then sent it the client's packets. RepeatedGrantIsNotReportedToASearchingEntry failed before; forwarding_test passes (265 tests).

--- a/lib/forwarding/agent_forwarder.cc
+++ b/lib/forwarding/agent_forwarder.cc
@@ -343,9 +343,10 @@
   } else if (!header.reset) {
     flows_.Adopt(id, header, now);
     not_held_.erase(id);
-    // The entry need not search any longer.
+    // The entry need not search any longer. A grant does not show that the flow
+    // is open here: its client may have accepted that of another target.
     const auto probe = probes_.find(id);
-    if (probe != probes_.end()) {
+    if (probe != probes_.end() && !header.opening) {
       ReportPlaced(id, probe->second, now, actions);
       probes_.erase(probe);
     }
--- a/unittests/forwarding/agent_forwarder_test.cc
+++ b/unittests/forwarding/agent_forwarder_test.cc
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(WaitingDuringPeakLoadIsNoFailure);
   CPPUNIT_TEST(ResetNamesTheAgeOfTheFlow);
   CPPUNIT_TEST(SearchingEntryLearnsOfAFlowThatItsTargetAnswers);
+  CPPUNIT_TEST(RepeatedGrantIsNotReportedToASearchingEntry);
   CPPUNIT_TEST(RetransmissionAfterARestartIsNoRequest);
   CPPUNIT_TEST(NotHeldAnswersAreCountedByEvidence);
   CPPUNIT_TEST(PendingWorkIsReportedUntilTheTargetRestarts);
@@ -527,6 +528,21 @@
     CPPUNIT_ASSERT(placed != nullptr && placed->flow == flow.flow());
   }
 
+  // Two targets granted a flow, and the one that the client did not choose
+  // repeats its grant. Guards against an entry that takes it for the holder and
+  // sends it the client's packets.
+  void RepeatedGrantIsNotReportedToASearchingEntry() {
+    agent_.OnTargetReport(MakeReport(40), now_, actions_);
+    const FlowPackets flow;
+    agent_.OnForwarded(Forward(ForwardMode::kSearch), flow.Request(), kEntry,
+                       now_, actions_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, actions_.to_target.size());
+    actions_.Clear();
+    agent_.OnTargetPacket(flow.Grant(kOtherGrant), kPacketBytes, now_,
+                          actions_);
+    CPPUNIT_ASSERT(actions_.to_entries.empty());
+  }
+
   // An agent restarts beside its running target, and a client that missed an
   // answer sends its request again. Guards against slots that count as occupied
   // by requests that the target has answered.
