--- a/lib/forwarding/agent_directory.cc
+++ b/lib/forwarding/agent_directory.cc
@@ -20,9 +20,7 @@
 constexpr uint64_t kRemoteCostUs = 3000;
 /// The same for a target that reports its pending work. A precise estimate
 /// finds small differences between the data centres all the time. A flow leaves
-/// its own one only for a gain of about half a usual service time. With 3 ms,
-/// 42% of the flows crossed in the simulation of expected_work_test.cc instead
-/// of 24%, and they waited no shorter.
+/// its own one only for a gain of about half a usual service time.
 constexpr uint64_t kRemoteWorkCostUs = 12'000;
 /// Additional cost of a full target over an empty one, in microseconds. Spreads
 /// flows over targets with free slots.
@@ -41,9 +39,8 @@
 /// more than this, in microseconds: two hops between data centres.
 constexpr uint32_t kDeclineMarginUs = 2000;
 /// The same for an agent that reports its pending work. It declines because of
-/// requests that have come from other entries since its report. With 2 ms the
-/// agents of the simulation declined 40% more often, for a mean wait of 16.9
-/// instead of 18.9 ms.
+/// requests that have come from other entries since its report, so that a
+/// smaller margin costs many round trips for little shorter waits.
 constexpr uint32_t kWorkDeclineMarginUs = 8000;
 /// Number of missed reports after which an agent gets no new flow.
 constexpr int kMissedReports = 3;
--- a/lib/forwarding/load_model.cc
+++ b/lib/forwarding/load_model.cc
@@ -21,10 +21,8 @@
 constexpr absl::Duration kHalfLife = absl::Milliseconds(600);
 
 /// Maximum ratio of the reported pending work to the wait that follows from the
-/// number of requests, in either direction, in thousandths. In the simulation
-/// of expected_work_test.cc, reports that were wrong by a factor of 4 made the
-/// 99th percentile of the wait longer than no reports did with 2,000 (162 and
-/// 160 ms), and shorter with this value.
+/// number of requests, in either direction, in thousandths. It limits the cost
+/// of a wrong estimate.
 constexpr uint64_t kMaxPendingRatioMilli = 1750;
 
 /// Returns the pending work of `load` without the unit that stands for a free
