--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iomanip>
 #include <random>
@@ -253,8 +254,52 @@
   close(fd);
 }
 
-Deployment::Deployment(Record& record)
-    : record_(record), layout_(Layout::Choose()) {}
+Router::Router(Record& record, const Layout& layout, int entries)
+    : record_(record), layout_(layout), entries_(entries) {
+  thread_ = std::thread([this] { Run(); });
+}
+
+Router::~Router() {
+  stopping_.store(true);
+  thread_.join();
+}
+
+void Router::Run() {
+  std::vector<int> misses(static_cast<size_t>(entries_), 2);
+  while (!stopping_.load()) {
+    std::vector<int> ready;
+    std::string names;
+    for (int entry = 1; entry <= entries_; ++entry) {
+      const Reply reply = Call(layout_.Machine(kEdge, entry, layout_.ready),
+                               {"GET", "/skylarkshunt/ready", ""}, 200);
+      int& missed = misses[static_cast<size_t>(entry - 1)];
+      missed = reply.status == 200 ? 0 : missed + 1;
+      if (missed < 2) {
+        ready.push_back(entry);
+        names += " edge-" + std::to_string(entry);
+      }
+    }
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (ready != in_rotation_)
+        record_.Write("in rotation:" + names);
+      in_rotation_ = ready;
+    }
+    SleepMs(500);
+  }
+}
+
+Address Router::Choose(int hash) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const int chosen =
+      in_rotation_.empty()
+          ? 1
+          : in_rotation_[static_cast<size_t>(hash) % in_rotation_.size()];
+  return layout_.Machine(kEdge, chosen, layout_.data);
+}
+
+Deployment::Deployment(Record& record, int edges)
+    : record_(record), layout_(Layout::Choose()), edge_count_(edges) {}
 
 std::unique_ptr<Backend> Deployment::MakeBackend(int number,
                                                  const std::string& id) {
@@ -267,7 +312,23 @@
   return std::make_unique<Backend>(record_, options);
 }
 
-bool Deployment::Start() {
+void Deployment::StartBackends() {
+  backends_.push_back(MakeBackend(1, "i-first-1"));
+  backends_.push_back(MakeBackend(2, "i-first-2"));
+}
+
+void Deployment::StartNodes() {
+  for (int number = 1; number <= edge_count_; ++number) {
+    edges_.push_back(std::make_unique<Node>(record_, layout_, kEdge, number));
+    edges_.back()->Start();
+  }
+  for (int number = 1; number <= 2; ++number) {
+    sides_.push_back(std::make_unique<Node>(record_, layout_, kSide, number));
+    sides_.back()->Start();
+  }
+}
+
+bool Deployment::Start(bool backends_first) {
   store_ =
       std::make_unique<Store>(layout_.Machine(kPlatform, 1, layout_.store));
   const std::string host = ToText(layout_.Machine(kRoute, 1, 0));
@@ -284,28 +345,36 @@
           "\"proto\":\"h1\",\"tls\":false,\"warmup-s\":2.0,"
           "\"warmup-per-s\":0.0}],\"limits\":{\"max-header-bytes\":16384,"
           "\"max-body-bytes\":262144,\"header-timeout-ms\":3000,"
-          "\"idle-timeout-ms\":30000}}");
+          "\"idle-timeout-ms\":15000}}");
   link_ = std::make_unique<Link>(record_,
                                  layout_.Machine(kProxy, 1, layout_.control),
                                  layout_.Machine(kSide, 1, layout_.control));
-  for (int number = 1; number <= 2; ++number) {
-    edges_.push_back(std::make_unique<Node>(record_, layout_, kEdge, number));
-    sides_.push_back(std::make_unique<Node>(record_, layout_, kSide, number));
-    edges_.back()->Start();
-    sides_.back()->Start();
-  }
-  SleepMs(300);
-  backends_.push_back(MakeBackend(1, "i-first-1"));
-  backends_.push_back(MakeBackend(2, "i-first-2"));
+  if (backends_first)
+    StartBackends();
+  else
+    StartNodes();
+  SleepMs(250);
+  if (backends_first)
+    StartNodes();
+  else
+    StartBackends();
+  if (edge_count_ > 2)
+    router_ = std::make_unique<Router>(record_, layout_, edge_count_);
   for (int number = 1; number <= kClients; ++number) {
-    clients_.push_back(std::make_unique<Client>(
-        record_, layout_, number,
-        layout_.Machine(kEdge, 1 + number % 2, layout_.data)));
+    const Address entry = layout_.Machine(kEdge, 1 + number % 2, layout_.data);
+    // Flows that move when the third entry leaves the rotation, and back.
+    const auto route = [this, entry, hash = 6 * number + 4] {
+      return router_ == nullptr ? entry : router_->Choose(hash);
+    };
+    clients_.push_back(
+        std::make_unique<Client>(record_, layout_, number, route));
   }
   const int64_t end = SteadyMs() + 15'000;
   while (SteadyMs() < end) {
-    if (edge(1).IsReady() && edge(2).IsReady() && side(1).IsReady() &&
-        side(2).IsReady()) {
+    const bool is_ready = std::all_of(
+        edges_.begin(), edges_.end(),
+        [](const std::unique_ptr<Node>& edge) { return edge->IsReady(); });
+    if (is_ready && side(1).IsReady() && side(2).IsReady()) {
       record_.Write("all nodes are ready");
       return true;
     }
--- a/review/standins-2/flows.cc
+++ b/review/standins-2/flows.cc
@@ -79,6 +79,11 @@
   return found != flows_.end() && found->second.open;
 }
 
+int Backend::ResetsTo(Address client) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return resets_[{client.ip, client.port}];
+}
+
 void Backend::RunReports() {
   int64_t due = record_.Now();
   while (!stopping_.load()) {
@@ -141,6 +146,22 @@
     return;
   }
   const auto found = flows_.find(key);
+  if (found != flows_.end() && found->second.ended) {
+    // "A FIN is answered with an ACK, and data is answered with an RST."
+    if ((packet.flags & kFin) == 0 && packet.data.empty())
+      return;
+    answer.flags = (packet.flags & kFin) != 0 ? kAck : kRst;
+    answer.sequence = packet.acknowledged;
+    answer.acknowledged = packet.sequence;
+    answer.sum = SumOf(answer);
+    SendOut(answer);
+    if (answer.flags == kRst) {
+      ++resets_[key];
+      record_.Write("backend " + options_.id + " resets an ended flow of " +
+                    ToText(packet.source));
+    }
+    return;
+  }
   const bool is_held =
       found != flows_.end() &&
       packet.acknowledged - found->second.own_sequence - 1 <= kResetWindow;
@@ -156,9 +177,19 @@
   if (!found->second.open)
     record_.Write("flow of " + ToText(packet.source) + " opens at " +
                   options_.id);
-  found->second.open = true;
+  Flow& flow = found->second;
+  flow.open = true;
   if (!packet.data.empty())
-    OnData(packet, found->second);
+    OnData(packet, flow);
+  if ((packet.flags & kFin) == 0)
+    return;
+  flow.open = false;
+  flow.ended = true;
+  answer.flags = kFin | kAck;
+  answer.sequence = flow.own_next;
+  answer.acknowledged = packet.sequence + 1;
+  answer.sum = SumOf(answer);
+  SendOut(answer);
 }
 
 void Backend::OnData(const Packet& packet, Flow& flow) {
@@ -183,11 +214,14 @@
   SendOut(answer);
 }
 
-Client::Client(Record& record, const Layout& layout, int number, Address entry)
+Client::Client(Record& record,
+               const Layout& layout,
+               int number,
+               std::function<Address()> route)
     : record_(record),
       layout_(layout),
       number_(number),
-      entry_(entry),
+      route_(std::move(route)),
       fd_(BindUdp(layout.Machine(kClient, number, layout.data))) {}
 
 Client::~Client() {
@@ -227,8 +261,8 @@
   record_.Write("client " + ToText(end()) + " got a reset of " +
                 (is_of_system ? "the system" : "the backend") +
                 (open_ ? ", its flow was open at " + server_ : ""));
-  if (open_ && is_of_system && is_in_window)
-    ++resets_;
+  if (open_ && is_in_window)
+    ++(is_of_system ? resets_ : resets_by_backends_);
   if (!open_ || is_in_window)
     open_ = false;
   return Outcome::kReset;
@@ -236,15 +270,43 @@
 
 Client::Outcome Client::Open() {
   ++port_;
+  return OpenAgain();
+}
+
+bool Client::End() {
+  Packet end = MakePacket(kFin | kAck);
+  end.sum = SumOf(end);
+  open_ = false;
+  for (int tries = 0; tries < 5; ++tries) {
+    SendTo(fd_, route_(), Encode(end));
+    Packet answer;
+    while (Receive(kFirstRetransmissionMs, answer)) {
+      if ((answer.flags & kFin) == 0)
+        continue;
+      ++next_;
+      expects_ = answer.sequence + 1;
+      Packet last = MakePacket(kAck);
+      last.sum = SumOf(last);
+      SendTo(fd_, route_(), Encode(last));
+      record_.Write("flow of " + ToText(this->end()) + " has ended at " +
+                    server_);
+      return true;
+    }
+  }
+  return false;
+}
+
+Client::Outcome Client::OpenAgain() {
   open_ = false;
-  next_ = RandomNumber();
+  // Above the last one of an earlier flow of this port.
+  next_ += 100'000 + RandomNumber() % 1'000'000;
   expects_ = 0;
   const int64_t begun = SteadyMs();
   for (uint32_t copy = 0; copy < 3; ++copy) {
     Packet opening = MakePacket(kSyn);
     opening.acknowledged = copy;
     opening.sum = SumOf(opening);
-    SendTo(fd_, entry_, Encode(opening));
+    SendTo(fd_, route_(), Encode(opening));
     Packet answer;
     while (
         Receive(static_cast<int>(begun + kCopyMs[copy] - SteadyMs()), answer)) {
@@ -281,7 +343,7 @@
   const int64_t end = SteadyMs() + limit_ms;
   int interval = kFirstRetransmissionMs;
   while (SteadyMs() < end) {
-    SendTo(fd_, entry_, Encode(packet));
+    SendTo(fd_, route_(), Encode(packet));
     const int64_t again = std::min(end, SteadyMs() + interval);
     interval = std::min(2 * interval, kLongestRetransmissionMs);
     Packet answer;
@@ -303,7 +365,7 @@
       server_ = FieldOf(answer.data, "X-Server-Stamp");
       Packet acknowledgement = MakePacket(kAck);
       acknowledgement.sum = SumOf(acknowledgement);
-      SendTo(fd_, entry_, Encode(acknowledgement));
+      SendTo(fd_, route_(), Encode(acknowledgement));
       return Outcome::kAnswered;
     }
   }
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -173,6 +173,7 @@
 inline constexpr uint8_t kRst = 1;
 inline constexpr uint8_t kBounced = 8;
 inline constexpr uint8_t kSyn = 16;
+inline constexpr uint8_t kFin = 32;
 inline constexpr uint8_t kAck = 64;
 
 /// The keyed sum that clients and backends write.
@@ -198,6 +199,8 @@
   /// Whether the end of the handshake of the client's flow has arrived.
   bool Holds(Address client);
   int64_t born() const { return born_; }
+  /// Resets that it has sent to the client's address and port.
+  int ResetsTo(Address client);
   /// Time of the record at which the next status report goes out.
   int64_t next_report() const { return next_report_.load(); }
 
@@ -208,6 +211,7 @@
     uint32_t own_sequence = 0;
     uint32_t own_next = 0;
     bool open = false;
+    bool ended = false;
     std::string last_answer;
     uint32_t last_answer_sequence = 0;
   };
@@ -229,6 +233,7 @@
   std::mutex mutex_;
   /// By the client's address and port.
   std::map<std::pair<uint32_t, uint16_t>, Flow> flows_;
+  std::map<std::pair<uint32_t, uint16_t>, int> resets_;
   std::unique_ptr<HttpServer> health_;
   std::thread packets_;
   std::thread reports_;
@@ -239,10 +244,18 @@
  public:
   enum class Outcome { kAnswered, kReset, kNone };
 
-  Client(Record& record, const Layout& layout, int number, Address entry);
+  /// `route` returns the entry that gets the client's next packet.
+  Client(Record& record,
+         const Layout& layout,
+         int number,
+         std::function<Address()> route);
   ~Client();
   /// Opens a flow from a new port and sends the first request on it.
   Outcome Open();
+  /// Opens a flow from the port of the last one, which has ended.
+  Outcome OpenAgain();
+  /// Ends the flow: both ends send a FIN. Returns whether the backend did.
+  bool End();
   /// Sends a request on the open flow.
   Outcome Send();
   /// Reads packets for `ms`. Returns whether the system reset the open flow.
@@ -250,6 +263,8 @@
   bool is_open() const { return open_; }
   /// Resets of the open flow that carry no sum: those of the system.
   int resets() const { return resets_; }
+  /// Resets of the open flow by a backend.
+  int resets_by_backends() const { return resets_by_backends_; }
   const std::string& server() const { return server_; }
   Address end() const;
 
@@ -262,7 +277,7 @@
   Record& record_;
   const Layout layout_;
   const int number_;
-  const Address entry_;
+  const std::function<Address()> route_;
   int fd_ = -1;
   uint16_t port_ = 40'000;
   int requests_ = 0;
@@ -270,6 +285,7 @@
   uint32_t next_ = 0;
   uint32_t expects_ = 0;
   int resets_ = 0;
+  int resets_by_backends_ = 0;
   std::string server_;
 };
 
@@ -300,12 +316,34 @@
   std::thread thread_;
 };
 
-/// A small deployment: two `edge` and two `side` machines in one zone.
+/// The platform's routers: check twice a second which entries are ready, and
+/// choose among them by the hash of a flow, as with `hash` = `mod`.
+class Router {
+ public:
+  Router(Record& record, const Layout& layout, int entries);
+  ~Router();
+  Address Choose(int hash);
+
+ private:
+  void Run();
+
+  Record& record_;
+  const Layout layout_;
+  const int entries_;
+  std::mutex mutex_;
+  std::vector<int> in_rotation_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+/// A small deployment: `edge` and two `side` machines in one zone. With two
+/// `edge` machines each client has one of them; otherwise a router chooses.
 class Deployment {
  public:
-  explicit Deployment(Record& record);
-  /// Starts all. Returns false if it does not serve within 15 s.
-  bool Start();
+  explicit Deployment(Record& record, int edges = 2);
+  /// Starts all. Returns false if it does not serve within 15 s. The backends
+  /// start 0.25 s before or after the nodes.
+  bool Start(bool backends_first = false);
   Node& edge(int number) { return *edges_[static_cast<size_t>(number - 1)]; }
   Node& side(int number) { return *sides_[static_cast<size_t>(number - 1)]; }
   std::unique_ptr<Backend>& backend(int number) {
@@ -320,10 +358,15 @@
   void ForEachClient(const std::function<void(Client&)>& use);
 
  private:
+  void StartBackends();
+  void StartNodes();
+
   Record& record_;
   const Layout layout_;
+  const int edge_count_;
   std::unique_ptr<Store> store_;
   std::unique_ptr<Link> link_;
+  std::unique_ptr<Router> router_;
   std::vector<std::unique_ptr<Node>> edges_;
   std::vector<std::unique_ptr<Node>> sides_;
   std::vector<std::unique_ptr<Backend>> backends_;
