--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,7 +6,7 @@
 TMPDIR=$(mktemp -d) || exit 2
 export TMPDIR
 trap 'rm -rf "$TMPDIR"' EXIT
-timeout -k 5 110 target/review-2/unreadable_id_case "$here/record.txt"
+timeout -k 5 110 target/review-2/incomplete_report_case "$here/record.txt"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -85,12 +85,17 @@
       port};
 }
 
-Node::Node(Record& record, const Layout& layout, int kind, int number)
+Node::Node(Record& record,
+           const Layout& layout,
+           int kind,
+           int number,
+           std::string service)
     : record_(record),
       layout_(layout),
       kind_(kind),
       number_(number),
-      name_((kind == kEdge ? "edge-" : "side-") + std::to_string(number)) {}
+      name_((kind == kEdge ? "edge-" : "side-") + std::to_string(number)),
+      service_(std::move(service)) {}
 
 Node::~Node() {
   if (pid_ < 0)
@@ -136,7 +141,7 @@
           "platform.value-bytes=1048576\nplatform.ttl-min-ms=1000\n";
   if (!is_edge)
     text << "listen.outbound=" << at(layout_.outbound)
-         << "\napp=" << at(layout_.app) << "\nservice=" << kService << "\n";
+         << "\napp=" << at(layout_.app) << "\nservice=" << service_ << "\n";
   const std::string settings = Folder() + "/" + name_ + ".conf";
   std::ofstream(settings) << text.str();
   const std::string output = Folder() + "/" + name_ + ".log";
@@ -298,23 +303,29 @@
   return layout_.Machine(kEdge, chosen, layout_.data);
 }
 
-Deployment::Deployment(Record& record, int edges)
-    : record_(record), layout_(Layout::Choose()), edge_count_(edges) {}
+Deployment::Deployment(Record& record, int edges, int sides)
+    : record_(record),
+      layout_(Layout::Choose()),
+      edge_count_(edges),
+      side_count_(sides) {}
 
 std::unique_ptr<Backend> Deployment::MakeBackend(int number,
                                                  const std::string& id) {
   Backend::Options options;
   options.app = layout_.Machine(kSide, number, layout_.app);
   options.outbound = layout_.Machine(kSide, number, layout_.outbound);
-  options.control = number == 1 ? layout_.Machine(kProxy, 1, layout_.control)
-                                : layout_.Machine(kSide, 2, layout_.control);
+  options.control = number == 1
+                        ? layout_.Machine(kProxy, 1, layout_.control)
+                        : layout_.Machine(kSide, number, layout_.control);
   options.id = id;
+  options.service = number <= 2 ? kService : kOtherService;
   return std::make_unique<Backend>(record_, options);
 }
 
 void Deployment::StartBackends() {
-  backends_.push_back(MakeBackend(1, "i-first-1"));
-  backends_.push_back(MakeBackend(2, "i-first-2"));
+  for (int number = 1; number <= side_count_; ++number)
+    backends_.push_back(
+        MakeBackend(number, "i-first-" + std::to_string(number)));
 }
 
 void Deployment::StartNodes() {
@@ -322,30 +333,42 @@
     edges_.push_back(std::make_unique<Node>(record_, layout_, kEdge, number));
     edges_.back()->Start();
   }
-  for (int number = 1; number <= 2; ++number) {
-    sides_.push_back(std::make_unique<Node>(record_, layout_, kSide, number));
+  for (int number = 1; number <= side_count_; ++number) {
+    sides_.push_back(
+        std::make_unique<Node>(record_, layout_, kSide, number,
+                               number <= 2 ? kService : kOtherService));
     sides_.back()->Start();
   }
 }
 
+void Deployment::Configure(int version, const std::string& target) {
+  const std::string host = ToText(layout_.Machine(kRoute, 1, 0));
+  std::string services;
+  for (const std::string name : {kService, kOtherService}) {
+    services += (services.empty() ? "" : ",") +
+                ("{\"name\":\"" + name +
+                 "\",\"health-path\":\"/health\",\"max-conns\":2000,"
+                 "\"proto\":\"h1\",\"tls\":false,\"warmup-s\":2.0,"
+                 "\"warmup-per-s\":0.0}");
+  }
+  store_->Put("config", "main",
+              "{\"version\":" + std::to_string(version) +
+                  ",\"routes\":[{\"name\":\"r-1\",\"host\":\"" +
+                  host.substr(0, host.find(':')) + "\",\"path-prefix\":\"/" +
+                  std::to_string(layout_.service) +
+                  "/\",\"kind\":\"idempotent\",\"timeout-ms\":2500,"
+                  "\"target-latency-ms\":250,\"priority\":2," +
+                  target + ",\"max-attempts\":2}],\"services\":[" + services +
+                  "],\"limits\":{\"max-header-bytes\":16384,"
+                  "\"max-body-bytes\":262144,\"header-timeout-ms\":3000,"
+                  "\"idle-timeout-ms\":15000}}");
+  record_.Write("configuration " + std::to_string(version) + ": " + target);
+}
+
 bool Deployment::Start(bool backends_first) {
   store_ =
       std::make_unique<Store>(layout_.Machine(kPlatform, 1, layout_.store));
-  const std::string host = ToText(layout_.Machine(kRoute, 1, 0));
-  store_->Put(
-      "config", "main",
-      "{\"version\":3,\"routes\":[{\"name\":\"r-1\",\"host\":\"" +
-          host.substr(0, host.find(':')) + "\",\"path-prefix\":\"/" +
-          std::to_string(layout_.service) +
-          "/\",\"kind\":\"idempotent\",\"timeout-ms\":2500,"
-          "\"target-latency-ms\":250,\"priority\":2,\"service\":\"" +
-          kService + "\",\"max-attempts\":2}],\"services\":[{\"name\":\"" +
-          kService +
-          "\",\"health-path\":\"/health\",\"max-conns\":2000,"
-          "\"proto\":\"h1\",\"tls\":false,\"warmup-s\":2.0,"
-          "\"warmup-per-s\":0.0}],\"limits\":{\"max-header-bytes\":16384,"
-          "\"max-body-bytes\":262144,\"header-timeout-ms\":3000,"
-          "\"idle-timeout-ms\":15000}}");
+  Configure(3, "\"service\":\"" + std::string(kService) + "\"");
   link_ = std::make_unique<Link>(record_,
                                  layout_.Machine(kProxy, 1, layout_.control),
                                  layout_.Machine(kSide, 1, layout_.control));
@@ -374,7 +397,10 @@
     const bool is_ready = std::all_of(
         edges_.begin(), edges_.end(),
         [](const std::unique_ptr<Node>& edge) { return edge->IsReady(); });
-    if (is_ready && side(1).IsReady() && side(2).IsReady()) {
+    const bool are_sides_ready = std::all_of(
+        sides_.begin(), sides_.end(),
+        [](const std::unique_ptr<Node>& side) { return side->IsReady(); });
+    if (is_ready && are_sides_ready) {
       record_.Write("all nodes are ready");
       return true;
     }
--- a/review/standins-2/flows.cc
+++ b/review/standins-2/flows.cc
@@ -58,7 +58,7 @@
 }
 
 std::string Backend::NextReport() {
-  return "{\"service\":\"" + std::string(kService) + "\",\"addr\":\"" +
+  return "{\"service\":\"" + options_.service + "\",\"addr\":\"" +
          ToText(options_.app) +
          "\",\"zone\":\"za\",\"version\":\"v1\",\"slots\":4,\"state\":\"" +
          (draining_.load() ? "draining" : "ready") +
@@ -84,6 +84,11 @@
   return resets_[{client.ip, client.port}];
 }
 
+int Backend::PacketsFrom(Address client) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return packets_from_[{client.ip, client.port}];
+}
+
 void Backend::RunReports() {
   int64_t due = record_.Now();
   while (!stopping_.load()) {
@@ -145,7 +150,11 @@
     SendOut(answer);
     return;
   }
+  ++packets_from_[key];
   const auto found = flows_.find(key);
+  if (found == flows_.end())
+    record_.Write("backend " + options_.id + " got a packet of " +
+                  ToText(packet.source) + ", whose flow it does not hold");
   if (found != flows_.end() && found->second.ended) {
     // "A FIN is answered with an ACK, and data is answered with an RST."
     if ((packet.flags & kFin) == 0 && packet.data.empty())
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -131,6 +131,7 @@
 inline constexpr int kProxy = 5;
 inline constexpr int kRoute = 6;
 inline constexpr char kService[] = "orders";
+inline constexpr char kOtherService[] = "orders-new";
 inline constexpr int kHeartbeatMs = 1200;
 /// The port in the commands of the deploy file.
 inline constexpr uint16_t kMetricsPort = 9464;
@@ -138,7 +139,12 @@
 /// One process of the system, started with the command of the deploy file.
 class Node {
  public:
-  Node(Record& record, const Layout& layout, int kind, int number);
+  /// `service` is that of the backend beside a `side` machine.
+  Node(Record& record,
+       const Layout& layout,
+       int kind,
+       int number,
+       std::string service = kService);
   ~Node();
   void Start();
   /// Sends SIGTERM, and SIGKILL after 6 s.
@@ -155,6 +161,7 @@
   const int kind_;
   const int number_;
   const std::string name_;
+  const std::string service_;
   pid_t pid_ = -1;
   int ends_ = 0;
 };
@@ -188,6 +195,7 @@
     /// Where it sends its status reports.
     Address control;
     std::string id;
+    std::string service = kService;
   };
   Backend(Record& record, Options options);
   /// Crashes: drops its flows and sends nothing more.
@@ -201,6 +209,9 @@
   int64_t born() const { return born_; }
   /// Resets that it has sent to the client's address and port.
   int ResetsTo(Address client);
+  /// Packets that it has got from the client's address and port, other than
+  /// opening ones.
+  int PacketsFrom(Address client);
   /// Time of the record at which the next status report goes out.
   int64_t next_report() const { return next_report_.load(); }
 
@@ -234,6 +245,7 @@
   /// By the client's address and port.
   std::map<std::pair<uint32_t, uint16_t>, Flow> flows_;
   std::map<std::pair<uint32_t, uint16_t>, int> resets_;
+  std::map<std::pair<uint32_t, uint16_t>, int> packets_from_;
   std::unique_ptr<HttpServer> health_;
   std::thread packets_;
   std::thread reports_;
@@ -336,11 +348,12 @@
   std::thread thread_;
 };
 
-/// A small deployment: `edge` and two `side` machines in one zone. With two
-/// `edge` machines each client has one of them; otherwise a router chooses.
+/// A small deployment: `edge` and `side` machines in one zone. With two `edge`
+/// machines each client has one of them; otherwise a router chooses. The first
+/// two `side` machines belong to kService, further ones to kOtherService.
 class Deployment {
  public:
-  explicit Deployment(Record& record, int edges = 2);
+  explicit Deployment(Record& record, int edges = 2, int sides = 2);
   /// Starts all. Returns false if it does not serve within 15 s. The backends
   /// start 0.25 s before or after the nodes.
   bool Start(bool backends_first = false);
@@ -350,6 +363,9 @@
     return backends_[static_cast<size_t>(number - 1)];
   }
   std::unique_ptr<Backend> MakeBackend(int number, const std::string& id);
+  /// Changes the configuration. `target` is the part of the route that names
+  /// its services.
+  void Configure(int version, const std::string& target);
   /// The link of the first side machine; the second has none.
   Link& link() { return *link_; }
   const Layout& layout() const { return layout_; }
@@ -364,6 +380,7 @@
   Record& record_;
   const Layout layout_;
   const int edge_count_;
+  const int side_count_;
   std::unique_ptr<Store> store_;
   std::unique_ptr<Link> link_;
   std::unique_ptr<Router> router_;
