Report which copy of the store an answer comes from

Cause: after a restore the logs could not tell a revision that the store gave out again from the same number before. The store names its copy in a header of each answer, which was not read.

The store client returns that number as the epoch of a list or a watch. SKS5164 store_restored logs a change of it with the revision that the answer names and the one that is held; skylarkshunt_store_epoch shows it, and skylarkshunt_store_answers_without_epoch_total counts answers without a readable one. No decision uses it yet.

--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -2,12 +2,14 @@
 #define SKYLARKSHUNT_PLATFORM_PLATFORM_CLIENT_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "skylarkshunt/base/endpoint.h"
 #include "skylarkshunt/base/error.h"
 #include "skylarkshunt/configuration/config_record.h"
@@ -26,6 +28,9 @@
 /// All objects below a prefix at one revision of the platform.
 struct ObjectList {
   Revision revision{};
+  /// Number of the copy of the store that answered; nothing if the answer names
+  /// none.
+  absl::optional<uint64_t> epoch;
   std::vector<ConfigRecord> objects;
   IgnoredObjects ignored;
 };
@@ -34,6 +39,8 @@
 struct WatchBatch {
   /// Where the next watch goes on.
   Revision revision{};
+  /// As ObjectList::epoch.
+  absl::optional<uint64_t> epoch;
   std::vector<ConfigRecord> changes;
   IgnoredObjects ignored;
 };
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -353,6 +353,7 @@
     const Result<ObjectList> list = store.List(prefix_);
     if (!RecordCall(list, "list_configuration", begun))
       return false;
+    calls_.RecordEpoch(list.value().epoch, list.value().revision, revision());
     calls_.RecordIgnored(prefix_, list.value().ignored);
     if (!AdoptRecords(list.value().objects, begun))
       return false;
@@ -384,6 +385,7 @@
     }
     watches_.OnAnswered();
     LogAnswer(batch.value(), begun);
+    calls_.RecordEpoch(batch.value().epoch, batch.value().revision, revision());
     calls_.RecordIgnored(prefix_, batch.value().ignored);
     if (AdoptRecords(batch.value().changes, begun)) {
       position_.OnAnswered(batch.value().revision,
--- a/lib/node/evacuation_follower.cc
+++ b/lib/node/evacuation_follower.cc
@@ -143,6 +143,8 @@
       return false;
     }
     backoff_.OnSuccess();
+    calls_.RecordEpoch(list.value().epoch, list.value().revision,
+                       position_.revision());
     calls_.RecordIgnored(options_.prefix, list.value().ignored);
     RecordIgnored(objects_.Replace(list.value().objects));
     position_.Reset(list.value().revision);
@@ -175,6 +177,8 @@
     }
     watches_.OnAnswered();
     backoff_.OnSuccess();
+    calls_.RecordEpoch(batch.value().epoch, batch.value().revision,
+                       position_.revision());
     calls_.RecordIgnored(options_.prefix, batch.value().ignored);
     RecordIgnored(objects_.Apply(batch.value().changes));
     position_.OnAnswered(batch.value().revision,
--- a/lib/node/store_call_log.cc
+++ b/lib/node/store_call_log.cc
@@ -13,6 +13,7 @@
 constexpr EventId kStoreHistoryGone{5155, "store_history_gone"};
 constexpr EventId kObjectsIgnored{5160, "store_objects_ignored"};
 constexpr EventId kCallSlow{5163, "store_call_slow"};
+constexpr EventId kStoreRestored{5164, "store_restored"};
 
 /// Least time between two log lines about objects that cannot be read, and
 /// between two about slow calls.
@@ -33,6 +34,14 @@
       objects_ignored_(counters.Find(
           "skylarkshunt_store_objects_ignored_total",
           "Objects in answers of the store that could not be read.")),
+      epoch_gauge_(counters.Find(
+          "skylarkshunt_store_epoch",
+          "Number of the copy of the object store that answered last.",
+          MetricType::kGauge)),
+      answers_without_epoch_(counters.Find(
+          "skylarkshunt_store_answers_without_epoch_total",
+          "Answers of the object store that do not name their copy, or not "
+          "readably.")),
       answer_time_(counters,
                    "skylarkshunt_store_answer",
                    "Time to an answer of the object store, without the wait "
@@ -84,6 +93,24 @@
       .Field("error", error.ToString());
 }
 
+void StoreCallLog::RecordEpoch(absl::optional<uint64_t> epoch,
+                               Revision revision,
+                               Revision position) {
+  if (!epoch.has_value()) {
+    answers_without_epoch_.Increment();
+    return;
+  }
+  epoch_gauge_.Set(*epoch);
+  if (epoch_.has_value() && epoch_ != epoch) {
+    LogLine(kStoreRestored, Severity::kWarning)
+        .Field("epoch", *epoch)
+        .Field("former_epoch", *epoch_)
+        .Field("revision", ToNumber(revision))
+        .Field("held", ToNumber(position));
+  }
+  epoch_ = epoch;
+}
+
 void StoreCallLog::RecordIgnored(absl::string_view prefix,
                                  const IgnoredObjects& ignored) {
   if (ignored.count == 0)
--- a/lib/node/store_call_log.h
+++ b/lib/node/store_call_log.h
@@ -1,8 +1,11 @@
 #ifndef SKYLARKSHUNT_LIB_NODE_STORE_CALL_LOG_H_
 #define SKYLARKSHUNT_LIB_NODE_STORE_CALL_LOG_H_
 
+#include <cstdint>
+
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "latency_metric.h"
 #include "skylarkshunt/base/counters.h"
 #include "skylarkshunt/base/error.h"
@@ -40,6 +43,12 @@
   void RecordHistoryGone(absl::string_view prefix,
                          Revision position,
                          const Error& error);
+  /// Records the epoch that an answer names, and logs a change: the store was
+  /// restored from another copy, which gives out revisions anew. `revision` is
+  /// the one that the answer names, `position` that of the state in force.
+  void RecordEpoch(absl::optional<uint64_t> epoch,
+                   Revision revision,
+                   Revision position);
   /// Counts objects below `prefix` that cannot be read. The others of the
   /// answer are used.
   void RecordIgnored(absl::string_view prefix, const IgnoredObjects& ignored);
@@ -61,7 +70,10 @@
   Counter& failures_;
   Counter& lost_watches_;
   Counter& objects_ignored_;
+  Counter& epoch_gauge_;
+  Counter& answers_without_epoch_;
   LatencyMetric answer_time_;
+  absl::optional<uint64_t> epoch_;
   bool lost_ = false;
   absl::Time lost_since_;
   absl::Time last_answer_;
