--- a/standins/packet_fleet/stream_proxy.cc
+++ b/standins/packet_fleet/stream_proxy.cc
@@ -141,11 +141,14 @@
           "cannot listen on " + listen.ToString() + ": " + error.message(),
           "choose another network for the fleet");
     }
+    local_ = {listen.address, acceptor_.local_endpoint().port()};
     Accept();
     thread_ = std::thread([this] { context_.run(); });
     return Success();
   }
 
+  Endpoint local() const override { return local_; }
+
   void SetFault(StreamFault fault) override {
     fault_.store(fault);
     if (fault != StreamFault::kReset)
@@ -176,6 +179,7 @@
   }
 
   const tcp::endpoint server_;
+  Endpoint local_;
   std::atomic<StreamFault> fault_{StreamFault::kNone};
   asio::io_context context_;
   tcp::acceptor acceptor_;
--- a/standins/packet_fleet/stream_proxy.h
+++ b/standins/packet_fleet/stream_proxy.h
@@ -29,12 +29,15 @@
  public:
   static constexpr absl::Duration kDelay = absl::Milliseconds(400);
 
-  /// Errors: kAddressInUse, kSystem.
+  /// Listens on a free port if that of `listen` is 0. Errors: kAddressInUse,
+  /// kSystem.
   static Result<std::unique_ptr<StreamProxy>> Start(Endpoint listen,
                                                     Endpoint server);
   virtual ~StreamProxy() = default;
 
   virtual void SetFault(StreamFault fault) = 0;
+  /// Returns the address on which it listens.
+  virtual Endpoint local() const = 0;
 };
 
 }  // namespace skylarkshunt
--- a/standins/platform/object_store.h
+++ b/standins/platform/object_store.h
@@ -60,7 +60,7 @@
  private:
   void Record(StoredObject change);
 
-  const size_t max_log_;
+  size_t max_log_;
   uint64_t revision_ = 0;
   /// Revision of the newest change that the log has dropped.
   uint64_t dropped_ = 0;
--- a/standins/platform/platform_core.cc
+++ b/standins/platform/platform_core.cc
@@ -45,8 +45,11 @@
 }
 
 PlatformAnswer MakeAnswer(int status, const nlohmann::json& value) {
-  return {status,
-          value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+  PlatformAnswer answer;
+  answer.status = status;
+  answer.body =
+      value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return answer;
 }
 
 PlatformAnswer MakeAnswer(int status) {
@@ -63,7 +66,14 @@
     : store_(options.max_log),
       writes_(options.writes_per_second),
       reads_(options.reads_per_second),
-      page_size_(options.page_size) {}
+      page_size_(options.page_size),
+      reports_epoch_(options.reports_epoch) {}
+
+PlatformAnswer PlatformCore::WithEpoch(PlatformAnswer answer) const {
+  if (reports_epoch_)
+    answer.epoch = epoch_;
+  return answer;
+}
 
 bool PlatformCore::TakeFault(FaultMode mode) {
   if (fault_.mode != mode)
@@ -102,6 +112,10 @@
 
 PlatformAnswer PlatformCore::Read(absl::string_view key) {
   absl::MutexLock lock(&mutex_);
+  return WithEpoch(ReadLocked(key));
+}
+
+PlatformAnswer PlatformCore::ReadLocked(absl::string_view key) {
   if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kRead))
     return *answer;
   const StoredObject* object = store_.Find(key);
@@ -112,6 +126,11 @@
 PlatformAnswer PlatformCore::List(absl::string_view prefix,
                                   absl::string_view after) {
   absl::MutexLock lock(&mutex_);
+  return WithEpoch(ListLocked(prefix, after));
+}
+
+PlatformAnswer PlatformCore::ListLocked(absl::string_view prefix,
+                                        absl::string_view after) {
   if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kList))
     return *answer;
   std::vector<StoredObject> objects = store_.List(prefix);
@@ -154,6 +173,12 @@
                                    absl::string_view body,
                                    uint64_t expected) {
   absl::MutexLock lock(&mutex_);
+  return WithEpoch(WriteLocked(key, body, expected));
+}
+
+PlatformAnswer PlatformCore::WriteLocked(absl::string_view key,
+                                         absl::string_view body,
+                                         uint64_t expected) {
   if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kWrite))
     return *answer;
   return AnswerChange(key, store_.Put(key, body, expected));
@@ -161,6 +186,11 @@
 
 PlatformAnswer PlatformCore::Remove(absl::string_view key, uint64_t expected) {
   absl::MutexLock lock(&mutex_);
+  return WithEpoch(RemoveLocked(key, expected));
+}
+
+PlatformAnswer PlatformCore::RemoveLocked(absl::string_view key,
+                                          uint64_t expected) {
   if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kRemove))
     return *answer;
   return AnswerChange(key, store_.Remove(key, expected));
@@ -170,9 +200,15 @@
                                           uint64_t after,
                                           absl::Duration wait) {
   const absl::Time end = absl::Now() + wait;
+  const uint64_t epoch = epoch_;
   while (true) {
     if (stopped_ || fault_.mode == FaultMode::kDown)
       return MakeAnswer(kServiceUnavailable);
+    if (epoch_ != epoch) {
+      PlatformAnswer answer = MakeAnswer(kOk);
+      answer.cut_off = true;
+      return answer;
+    }
     if (TakeFault(FaultMode::kLoseWatches))
       return LoseCall();
     absl::optional<std::vector<StoredObject>> changes =
@@ -193,6 +229,12 @@
                                    uint64_t after,
                                    absl::Duration wait) {
   absl::MutexLock lock(&mutex_);
+  return WithEpoch(WatchLocked(prefix, after, wait));
+}
+
+PlatformAnswer PlatformCore::WatchLocked(absl::string_view prefix,
+                                         uint64_t after,
+                                         absl::Duration wait) {
   if (absl::optional<PlatformAnswer> answer = Admit(CallKind::kWatch))
     return *answer;
   if (TakeFault(FaultMode::kExpireWatches))
@@ -200,6 +242,18 @@
   return AwaitChanges(prefix, after, wait);
 }
 
+void PlatformCore::TakeCopy() {
+  absl::MutexLock lock(&mutex_);
+  copy_ = store_;
+}
+
+void PlatformCore::Restore() {
+  absl::MutexLock lock(&mutex_);
+  store_ = *copy_;
+  ++epoch_;
+  changed_.SignalAll();
+}
+
 void PlatformCore::SetFault(const Fault& fault) {
   absl::MutexLock lock(&mutex_);
   const FaultMode former = std::exchange(fault_, fault).mode;
--- a/standins/platform/platform_core.h
+++ b/standins/platform/platform_core.h
@@ -33,6 +33,9 @@
   int status = 200;
   std::string body;
   bool cut_off = false;
+  /// Number of the copy of the store that answers; nothing for a store that
+  /// does not report it.
+  absl::optional<uint64_t> epoch;
 };
 
 /// Everything the stand-in platform does, apart from HTTP itself. Thread-safe;
@@ -47,6 +50,9 @@
     size_t max_log = 10'000;
     /// Most objects of one answer to a list.
     size_t page_size = 500;
+    /// Whether answers name the epoch, which a store of an earlier release does
+    /// not.
+    bool reports_epoch = true;
   };
 
   explicit PlatformCore(const Options& options);
@@ -62,6 +68,13 @@
                        uint64_t after,
                        absl::Duration wait);
 
+  /// Keeps a copy of the store as it is now, instead of the last one.
+  void TakeCopy();
+  /// Returns to the last copy in a new epoch: what was written since is lost,
+  /// its revisions are given out again, and waiting watches are cut off.
+  /// Precondition: TakeCopy() was called.
+  void Restore();
+
   void SetFault(const Fault& fault);
   CallCounts counts() const;
   /// Ends all waits; calls are answered 503 from now on.
@@ -72,6 +85,23 @@
   /// ends here.
   absl::optional<PlatformAnswer> Admit(CallKind kind)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  /// Returns `answer` with the present epoch.
+  PlatformAnswer WithEpoch(PlatformAnswer answer) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  PlatformAnswer ReadLocked(absl::string_view key)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  PlatformAnswer ListLocked(absl::string_view prefix, absl::string_view after)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  PlatformAnswer WriteLocked(absl::string_view key,
+                             absl::string_view body,
+                             uint64_t expected)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  PlatformAnswer RemoveLocked(absl::string_view key, uint64_t expected)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  PlatformAnswer WatchLocked(absl::string_view prefix,
+                             uint64_t after,
+                             absl::Duration wait)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   /// Waits until Stop(), so that the call gets no answer.
   PlatformAnswer LoseCall() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   /// Whether `mode` is set; then one call of its count is used up.
@@ -86,11 +116,14 @@
   mutable absl::Mutex mutex_;
   absl::CondVar changed_;
   ObjectStore store_ ABSL_GUARDED_BY(mutex_);
+  absl::optional<ObjectStore> copy_ ABSL_GUARDED_BY(mutex_);
+  uint64_t epoch_ ABSL_GUARDED_BY(mutex_) = 1;
   CallLimiter writes_ ABSL_GUARDED_BY(mutex_);
   CallLimiter reads_ ABSL_GUARDED_BY(mutex_);
   Fault fault_ ABSL_GUARDED_BY(mutex_);
   CallCounts counts_ ABSL_GUARDED_BY(mutex_);
   const size_t page_size_;
+  const bool reports_epoch_;
   bool stopped_ ABSL_GUARDED_BY(mutex_) = false;
 };
 
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -17,6 +17,7 @@
 
 constexpr EventId kFaultSet{8001, "standin_platform_fault_set"};
 
+constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 // A waiting watch holds a thread; the watchers of a deployment need 6.
 constexpr size_t kThreads = 64;
@@ -58,6 +59,8 @@
 
 void Send(const PlatformAnswer& answer, httplib::Response& response) {
   response.status = answer.status;
+  if (answer.epoch.has_value())
+    response.set_header("Store-Era", std::to_string(*answer.epoch));
   if (!answer.cut_off) {
     response.set_content(answer.body, kJson);
     return;
@@ -68,9 +71,16 @@
       [](size_t, size_t, httplib::DataSink&) { return false; });
 }
 
+PlatformAnswer MakeAnswer(int status, std::string body) {
+  PlatformAnswer answer;
+  answer.status = status;
+  answer.body = std::move(body);
+  return answer;
+}
+
 PlatformAnswer BadRequest(absl::string_view message) {
   const nlohmann::json value = {{"error", std::string(message)}};
-  return {kBadRequest, value.dump()};
+  return MakeAnswer(kBadRequest, value.dump());
 }
 
 PlatformAnswer Calls(const PlatformCore& core) {
@@ -83,7 +93,7 @@
       {"watch", counts.by_kind[static_cast<size_t>(CallKind::kWatch)]},
       {"rejected", counts.rejected},
       {"faulted", counts.faulted}};
-  return {200, value.dump()};
+  return MakeAnswer(kOk, value.dump());
 }
 
 PlatformAnswer SetFault(PlatformCore& core, const std::string& body) {
@@ -95,7 +105,7 @@
       .Field("mode", FaultModeName(fault.value().mode))
       .Field("delay_ms", absl::ToInt64Milliseconds(fault.value().delay))
       .Field("count", fault.value().count);
-  return {200, "{}"};
+  return MakeAnswer(kOk, "{}");
 }
 
 std::string KeyOf(const httplib::Request& request) {
--- a/unittests/node/configuration_follower_test.cc
+++ b/unittests/node/configuration_follower_test.cc
@@ -14,6 +14,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 #include "platform/configuration_document.h"
+#include "received_configurations.h"
 #include "skylarkshunt/documents/packed_document.h"
 #include "skylarkshunt/forwarding/route_table_codec.h"
 #include "skylarkshunt/http/http_client.h"
@@ -24,66 +25,6 @@
 namespace {
 
 constexpr char kKey[] = "config/main";
-constexpr absl::Duration kLongWait = absl::Seconds(30);
-
-std::string Document(int version) {
-  return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[],"services":[],"limits":{}})";
-}
-
-/// Records the commands that the follower sends to the data thread.
-class Received {
- public:
-  bool Take(const DataCommand& command) {
-    absl::MutexLock lock(&mutex_);
-    const auto* configuration = std::get_if<ConfigurationInForce>(&command);
-    if (configuration != nullptr && std::exchange(refuse_next_, false))
-      return false;
-    if (configuration != nullptr)
-      versions_.push_back(configuration->routes->version);
-    const auto* node = std::get_if<NodeAddress>(&command);
-    if (node != nullptr)
-      nodes_.push_back(node->address);
-    return true;
-  }
-
-  std::vector<uint32_t> nodes() const {
-    absl::MutexLock lock(&mutex_);
-    return nodes_;
-  }
-
-  /// Makes the queue of the data thread full for the next configuration.
-  void RefuseNext() {
-    absl::MutexLock lock(&mutex_);
-    refuse_next_ = true;
-  }
-
-  /// Waits until `version` is the latest one. Returns false after `limit`.
-  bool Await(uint64_t version, absl::Duration limit = kLongWait) {
-    absl::MutexLock lock(&mutex_);
-    wanted_ = version;
-    return mutex_.AwaitWithTimeout(absl::Condition(
-                                       +[](Received* self) {
-                                         return !self->versions_.empty() &&
-                                                self->versions_.back() ==
-                                                    self->wanted_;
-                                       },
-                                       this),
-                                   limit);
-  }
-
-  std::vector<uint64_t> versions() const {
-    absl::MutexLock lock(&mutex_);
-    return versions_;
-  }
-
- private:
-  mutable absl::Mutex mutex_;
-  std::vector<uint64_t> versions_;
-  std::vector<uint32_t> nodes_;
-  uint64_t wanted_ = 0;
-  bool refuse_next_ = false;
-};
 
 class ConfigurationFollowerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ConfigurationFollowerTest);
@@ -462,7 +403,7 @@
 
   /// Replaces the configuration in the store by `version`.
   void Write(int version) {
-    Write(Document(version));
+    Write(MakeConfiguration(version));
     written_ = version;
   }
 
@@ -482,7 +423,7 @@
   }
 
   CounterRegistry counters_;
-  Received received_;
+  ReceivedConfigurations received_;
   uint64_t revision_ = 0;
   int written_ = 0;
   uint16_t peer_port_ = 1;
