Order revisions across restores of the store

Cause: a revision was compared with one that the store gave out before it was restored, and a watch went on from a position that it had given out again.

Change: a Revision is the epoch of the store in its upper 16 bits and the count of changes in the others. The store client composes it from the header of each answer, so that every comparison in both products orders changes after a restore behind all earlier ones. A watch whose answer names another epoch than its position fails with the error that makes a list necessary. A list whose pages are of two epochs fails. A conditional change that was done in another epoch than that of its revision has an unknown outcome. A missing or unreadable header leaves everything as it was. Logs show revisions as EPOCH:COUNT.

Tests of skylarkshuntctl expect the new text, and the ones that stood in for an entry or a peer name the epoch of the store.

--- a/include/skylarkshunt/base/ids.h
+++ b/include/skylarkshunt/base/ids.h
@@ -24,15 +24,41 @@
 /// Stable hash of a flow, the same at every entry.
 enum class FlowKey : uint64_t {};
 
-/// Counter of changes of the platform's object API; it orders configuration.
+/// Number of the copy of the platform's object store. It rises when the store
+/// is restored from an older copy, which loses changes and gives out their
+/// counts again. 0 if the store does not report it.
+enum class Epoch : uint16_t {};
+
+/// Place of a change in the history of the platform's object store; it orders
+/// configuration. The upper 16 bits are the epoch, the others count the changes
+/// up to it. So a change after a restore follows all changes before it, as with
+/// the transaction ids of ZooKeeper.
 enum class Revision : uint64_t {};
 
+inline constexpr int kRevisionCountBits = 48;
+/// Largest count of changes in one epoch.
+inline constexpr uint64_t kMaxRevisionCount =
+    (uint64_t{1} << kRevisionCountBits) - 1;
+
 /// Returns the plain number behind one of the identities above.
 template <typename Id>
 constexpr uint64_t ToNumber(Id id) {
   return static_cast<uint64_t>(id);
 }
 
+/// Precondition: `count` is at most kMaxRevisionCount.
+constexpr Revision MakeRevision(Epoch epoch, uint64_t count) {
+  return Revision{ToNumber(epoch) << kRevisionCountBits | count};
+}
+
+constexpr Epoch EpochOf(Revision revision) {
+  return Epoch{static_cast<uint16_t>(ToNumber(revision) >> kRevisionCountBits)};
+}
+
+constexpr uint64_t CountOf(Revision revision) {
+  return ToNumber(revision) & kMaxRevisionCount;
+}
+
 /// Identity of a request, chosen by the caller. A repeat carries the same id.
 struct RequestId {
   uint64_t high = 0;
@@ -78,6 +104,8 @@
 /// Returns the key of a caller's flow towards `service`. Thread-safe.
 FlowKey MakeFlowKey(ServiceUid service, uint64_t caller_flow_id);
 
+/// Returns "EPOCH:COUNT", or the count alone in epoch 0. Thread-safe.
+std::string ToText(Revision revision);
 /// Returns `number` as 16 hexadecimal digits. Thread-safe.
 std::string ToHex(uint64_t number);
 /// Returns `id` as 32 hexadecimal digits. Thread-safe.
--- a/include/skylarkshunt/platform/platform_client.h
+++ b/include/skylarkshunt/platform/platform_client.h
@@ -2,7 +2,6 @@
 #define SKYLARKSHUNT_PLATFORM_PLATFORM_CLIENT_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,9 +27,9 @@
 /// All objects below a prefix at one revision of the platform.
 struct ObjectList {
   Revision revision{};
-  /// Number of the copy of the store that answered; nothing if the answer names
-  /// none.
-  absl::optional<uint64_t> epoch;
+  /// The epoch that the answer names; nothing if it names none readably. Its
+  /// revisions are then in epoch 0.
+  absl::optional<Epoch> epoch;
   std::vector<ConfigRecord> objects;
   IgnoredObjects ignored;
 };
@@ -39,8 +38,9 @@
 struct WatchBatch {
   /// Where the next watch goes on.
   Revision revision{};
-  /// As ObjectList::epoch.
-  absl::optional<uint64_t> epoch;
+  /// The epoch that the answer names; nothing if it names none readably. Its
+  /// revisions are then in the epoch from which the watch asked.
+  absl::optional<Epoch> epoch;
   std::vector<ConfigRecord> changes;
   IgnoredObjects ignored;
 };
@@ -54,6 +54,9 @@
 /// A key is "kind/name" and a prefix "kind/"; kind and name have 1 to 200
 /// letters, digits, '-', '_' and '.'. Every call fails with kInvalidArgument
 /// for others, and Write() for bodies above 1 MiB or that are no JSON text.
+///
+/// The store checks an expected revision by its count only. After a restore
+/// that count may belong to another change.
 class PlatformClient {
  public:
   struct Options {
@@ -73,7 +76,8 @@
   /// Errors: kNotFound, kUnavailable, kRateLimited, kMalformedMessage.
   virtual Result<ConfigRecord> Read(absl::string_view key) = 0;
 
-  /// Errors: as Read().
+  /// Errors: as Read(); kUnavailable also if the store was restored between two
+  /// pages.
   virtual Result<ObjectList> List(absl::string_view prefix,
                                   ReadFreshness freshness) = 0;
   Result<ObjectList> List(absl::string_view prefix) {
@@ -83,7 +87,8 @@
   /// Writes `body` where the object is absent (`expected` 0) or has the
   /// revision `expected`. Returns the new revision. Errors: kConflict,
   /// kRateLimited, kUnavailable (not written: no connection or 503) and
-  /// kOutcomeUnknown (sent, but the answer did not arrive).
+  /// kOutcomeUnknown (sent, but the answer did not arrive, or the store was
+  /// restored since `expected` was read and may have replaced another change).
   virtual Result<Revision> Write(absl::string_view key,
                                  absl::string_view body,
                                  Revision expected) = 0;
@@ -92,7 +97,8 @@
   virtual Result<Revision> Remove(absl::string_view key, Revision expected) = 0;
 
   /// Waits up to `wait` for changes after `after`. Errors: kNotFound when the
-  /// changes are no longer held and a list is needed, kOversizedMessage when
+  /// changes are no longer held, or the store was restored since `after`, so
+  /// that a list is needed; kOversizedMessage when
   /// they exceed an answer and a list is needed, else as Read().
   virtual Result<WatchBatch> Watch(absl::string_view prefix,
                                    Revision after,
--- a/lib/agent/control_loop.cc
+++ b/lib/agent/control_loop.cc
@@ -139,7 +139,7 @@
     if (!config.has_value()) {
       LogLine(kServiceUnreadable, Severity::kError)
           .Field("key", record.key)
-          .Field("revision", ToNumber(record.revision))
+          .Field("revision", ToText(record.revision))
           .Field("error", config.error().ToString());
       return;
     }
@@ -147,7 +147,7 @@
   }
   LogLine(kServiceAdopted)
       .Field("key", record.key)
-      .Field("revision", ToNumber(record.revision))
+      .Field("revision", ToText(record.revision))
       .Field("deleted", record.deleted ? "true" : "false");
   orders_.service = std::move(service);
   orders_.incarnation =
--- a/lib/base/ids.cc
+++ b/lib/base/ids.cc
@@ -19,6 +19,13 @@
   return FlowKey{StableHash(caller_flow_id, ToNumber(service))};
 }
 
+std::string ToText(Revision revision) {
+  const Epoch epoch = EpochOf(revision);
+  if (epoch == Epoch{})
+    return absl::StrCat(CountOf(revision));
+  return absl::StrCat(ToNumber(epoch), ":", CountOf(revision));
+}
+
 std::string ToHex(uint64_t number) {
   return absl::StrCat(absl::Hex(number, absl::kZeroPad16));
 }
--- a/lib/ctl/in_force.cc
+++ b/lib/ctl/in_force.cc
@@ -61,13 +61,12 @@
   for (const InstanceStatus& instance : report.instances) {
     const char* in_force = Applies(instance, report.revision) ? "yes" : "no";
     table.rows.push_back({instance.uid, instance.role, instance.data_centre,
-                          instance.state,
-                          absl::StrCat(ToNumber(instance.applied)),
+                          instance.state, ToText(instance.applied),
                           instance.counts() ? in_force : "-"});
   }
   const Fields fields = {
       {"service", report.service},
-      {"revision", absl::StrCat(ToNumber(report.revision))},
+      {"revision", ToText(report.revision)},
       {"in_force", report.in_force() ? "yes" : "no"},
       {"summary", absl::StrCat("in force at ", report.applied, " of ",
                                report.counted, " instances")}};
--- a/lib/ctl/service_apply.cc
+++ b/lib/ctl/service_apply.cc
@@ -51,7 +51,7 @@
   const std::vector<Difference> differences = Compare(stored, yours);
   const Fields fields = {
       {"service", yours.name},
-      {"revision", absl::StrCat(ToNumber(stored.revision))},
+      {"revision", ToText(stored.revision)},
       {"change", stored.config.has_value()
                      ? (differences.empty() ? "none" : "change")
                      : "create"}};
@@ -71,13 +71,13 @@
   const StoredService& stored = now.value();
   const std::string found =
       stored.config.has_value()
-          ? absl::StrCat("revision ", ToNumber(stored.revision), " (apply ",
+          ? absl::StrCat("revision ", ToText(stored.revision), " (apply ",
                          stored.config->apply_id, ")")
           : std::string("no object");
   const Error error = MakeError(
       ErrorKind::kConflict,
       absl::StrCat(conflict.message, "; this apply was based on revision ",
-                   ToNumber(expected), ", the platform now holds ", found),
+                   ToText(expected), ", the platform now holds ", found),
       "compare the differences, settle them with the other operator, then "
       "apply again");
   PrintError(context.environment.err, context.arguments.output, error,
@@ -91,7 +91,7 @@
   PrintFields(context.environment.out, context.arguments.output,
               {{"service", yours.name},
                {"uid", ToHex(ToNumber(yours.uid))},
-               {"revision", absl::StrCat(ToNumber(revision))},
+               {"revision", ToText(revision)},
                {"apply_id", yours.apply_id}});
 }
 
--- a/lib/ctl/service_view.cc
+++ b/lib/ctl/service_view.cc
@@ -60,7 +60,7 @@
               {}};
   for (const ConfigRecord& record : list.objects) {
     const std::string name(absl::StripPrefix(record.key, "services/"));
-    const std::string revision = absl::StrCat(ToNumber(record.revision));
+    const std::string revision = ToText(record.revision);
     Result<ServiceConfig> config = ParseServiceConfig(record.body);
     if (!config.has_value()) {
       context.environment.err << "note: " << record.key << ": "
@@ -83,7 +83,7 @@
                     client->Read(ServiceKey(context.arguments.operands[0])));
   BOOST_OUTCOME_TRY(config, ParseServiceConfig(record.body));
   Fields fields = {{"service", config.name},
-                   {"revision", absl::StrCat(ToNumber(record.revision))},
+                   {"revision", ToText(record.revision)},
                    {"apply_id", config.apply_id}};
   for (auto& field : DescribeService(config))
     fields.push_back(std::move(field));
@@ -98,8 +98,7 @@
   BOOST_OUTCOME_TRYV(RemoveSettled(*client, record.key, record.revision,
                                    context.arguments.settle));
   PrintFields(context.environment.out, context.arguments.output,
-              {{"removed", name},
-               {"revision", absl::StrCat(ToNumber(record.revision))}});
+              {{"removed", name}, {"revision", ToText(record.revision)}});
   return ExitCode::kOk;
 }
 
--- a/lib/ctl/settle.cc
+++ b/lib/ctl/settle.cc
@@ -86,7 +86,7 @@
     if (record.revision == write.expected)
       return absl::nullopt;
     return Result<Revision>(OtherChange(
-        write.key, absl::StrCat("revision ", ToNumber(record.revision))));
+        write.key, absl::StrCat("revision ", ToText(record.revision))));
   };
   return ReadBack(client, write.key, limit, judge);
 }
@@ -110,7 +110,7 @@
     if (read.value().revision == expected)
       return absl::nullopt;
     return Result<Revision>(OtherChange(
-        key, absl::StrCat("revision ", ToNumber(read.value().revision))));
+        key, absl::StrCat("revision ", ToText(read.value().revision))));
   };
   BOOST_OUTCOME_TRYV(ReadBack(client, key, limit, judge));
   return Success();
--- a/lib/ctl/target_commands.cc
+++ b/lib/ctl/target_commands.cc
@@ -40,7 +40,7 @@
     table.rows.push_back({instance.uid, instance.service_name, instance.state,
                           instance.data_centre, instance.target, instance.admin,
                           absl::StrCat(instance.slots),
-                          absl::StrCat(ToNumber(instance.applied))});
+                          ToText(instance.applied)});
   }
   PrintTable(context.environment.out, context.arguments.output, table);
   return ExitCode::kOk;
@@ -71,7 +71,7 @@
   PrintFields(context.environment.out, context.arguments.output,
               {{"target", ToHex(*uid)},
                {"drain", drain ? "true" : "false"},
-               {"revision", absl::StrCat(ToNumber(revision))}});
+               {"revision", ToText(revision)}});
   return ExitCode::kOk;
 }
 
--- a/lib/ctl/view_commands.cc
+++ b/lib/ctl/view_commands.cc
@@ -80,7 +80,7 @@
       continue;
     table.rows.push_back({instance.uid, instance.state, instance.region,
                           instance.data_centre, instance.data, instance.admin,
-                          absl::StrCat(ToNumber(instance.applied))});
+                          ToText(instance.applied)});
   }
   PrintTable(context.environment.out, context.arguments.output, table);
   return ExitCode::kOk;
--- a/lib/entry/platform_loop.cc
+++ b/lib/entry/platform_loop.cc
@@ -169,7 +169,7 @@
   LogLine(kDirectoryWritten)
       .Field("region", options_.region)
       .Field("entries", unwritten_->size())
-      .Field("revision", ToNumber(written.value()));
+      .Field("revision", ToText(written.value()));
   unwritten_.reset();
   next_write_ = now + kDirectoryWriteInterval;
   return absl::ZeroDuration();
@@ -189,7 +189,7 @@
     position.Reset(revision);
   next_list_ = now + backoff_.Jitter(kRelistInterval);
   LogLine(kPlatformListed)
-      .Field("revision", ToNumber(revision))
+      .Field("revision", ToText(revision))
       .Field("objects", list.value().objects.size());
   need_list_ = !Push(PlatformListed{revision, std::move(list.value().objects)});
   return absl::ZeroDuration();
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -196,7 +196,7 @@
         PackDocument(revision_, EncodeRouteTable(*routes_));
     if (!packed.has_value()) {
       LogLine(kPackingFailed, Severity::kError)
-          .Field("revision", ToNumber(revision_))
+          .Field("revision", ToText(revision_))
           .Field("error", packed.error().ToString());
       return false;
     }
@@ -220,7 +220,7 @@
              absl::optional<PackedDocument> packed) {
     if (!table.has_value()) {
       LogLine(kConfigurationRejected, Severity::kError)
-          .Field("revision", ToNumber(revision))
+          .Field("revision", ToText(revision))
           .Field("source", source)
           .Field("error", table.error().ToString());
       return true;
@@ -236,9 +236,9 @@
     routes_ = routes;
     if (packed.has_value())
       previous_ = std::exchange(packed_, *std::move(packed));
-    revision_gauge_.Set(ToNumber(revision));
+    revision_gauge_.Set(CountOf(revision));
     LogLine(kConfigurationInForce)
-        .Field("revision", ToNumber(revision))
+        .Field("revision", ToText(revision))
         .Field("version", routes->version)
         .Field("routes", routes->routes.size())
         .Field("source", source)
@@ -246,7 +246,7 @@
     if (routes->ignored.count > 0) {
       values_ignored_.Add(routes->ignored.count);
       LogLine(kValuesIgnored, Severity::kWarning)
-          .Field("revision", ToNumber(revision))
+          .Field("revision", ToText(revision))
           .Field("count", routes->ignored.count)
           .Field("first", routes->ignored.first);
     }
@@ -402,10 +402,10 @@
     if (batch.revision == named && batch.changes.empty())
       return;
     LogLine(kWatchAnswered)
-        .Field("position", ToNumber(position_.revision()))
-        .Field("revision", ToNumber(batch.revision))
+        .Field("position", ToText(position_.revision()))
+        .Field("revision", ToText(batch.revision))
         .Field("changes", batch.changes.size())
-        .Field("held", ToNumber(revision()))
+        .Field("held", ToText(revision()))
         .Field("took_ms", absl::ToInt64Milliseconds(MonotonicNow() - begun));
   }
 
@@ -505,10 +505,10 @@
     offered_ = notice.revision;
     offered_at_ = MonotonicNow();
     LogLine(kRevisionOffered)
-        .Field("revision", ToNumber(notice.revision))
+        .Field("revision", ToText(notice.revision))
         .Field("node",
                Endpoint{notice.address, options_.node.peers.port}.ToString())
-        .Field("held", ToNumber(revision()));
+        .Field("held", ToText(revision()));
   }
 
   /// Fetches a part of the configuration of a peer. Returns whether it
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -278,7 +278,7 @@
     forwarder_.SetEvacuated(set.data_centres);
     const size_t agents = CountEvacuatedAgents();
     LogLine(kEvacuationsInUse)
-        .Field("revision", ToNumber(set.revision))
+        .Field("revision", ToText(set.revision))
         .Field("source", source)
         .Field("objects", set.data_centres.size())
         .Field("data_centres", EvacuatedDataCentres().size())
@@ -331,7 +331,7 @@
                  change.in_force ? Severity::kInfo : Severity::kWarning);
     const bool placed =
         change.former_use.last_placement != absl::InfinitePast();
-    line.Field("revision", ToNumber(configuration.revision))
+    line.Field("revision", ToText(configuration.revision))
         .Field("version", configuration.routes->version)
         .Field("queued_ms", absl::ToInt64Milliseconds(now - configuration.sent))
         .Field("former_version", change.former_version)
@@ -434,7 +434,7 @@
     if (ready != is_ready()) {
       LogLine(kReady)
           .Field("ready", ready ? "true" : "false")
-          .Field("configuration", ToNumber(self_.configuration))
+          .Field("configuration", ToText(self_.configuration))
           .Field("uptime_ms", absl::ToInt64Milliseconds(now - started_));
     }
     return ready;
--- a/lib/node/evacuation_follower.cc
+++ b/lib/node/evacuation_follower.cc
@@ -194,7 +194,7 @@
     auto set = std::make_shared<EvacuationSet>();
     set->revision = position_.revision();
     set->data_centres = objects_.DataCentres();
-    revision_gauge_.Set(ToNumber(set->revision));
+    revision_gauge_.Set(CountOf(set->revision));
     const bool changed =
         last_ == nullptr || last_->data_centres != set->data_centres;
     last_ = std::move(set);
@@ -204,7 +204,7 @@
     if (!changed)
       return;
     LogLine(kEvacuationsRead)
-        .Field("revision", ToNumber(last_->revision))
+        .Field("revision", ToText(last_->revision))
         .Field("objects", last_->data_centres.size())
         .Field("changes", NamesOf(records, options_.prefix))
         .Field("call", call)
--- a/lib/node/node_status.cc
+++ b/lib/node/node_status.cc
@@ -38,7 +38,7 @@
   value["service"] = ToHex(ToNumber(agent.identity.service));
   value["address"] = agent.endpoint.ToString();
   value["incarnation"] = ToNumber(agent.identity.incarnation);
-  value["configuration"] = ToNumber(agent.configuration);
+  value["configuration"] = CountOf(agent.configuration);
   value["heard_ms_ago"] = absl::ToInt64Milliseconds(now - agent.last_seen);
   return value;
 }
@@ -65,7 +65,8 @@
                 {"leaving", status->leaving},
                 {"time_ms", absl::ToUnixMillis(status->time)},
                 {"configuration",
-                 {{"revision", ToNumber(status->configuration)},
+                 {{"revision", CountOf(status->configuration)},
+                  {"epoch", ToNumber(EpochOf(status->configuration))},
                   {"version", status->configuration_version}}},
                 {"nodes", json::array()}};
   for (const NodeAddress& node : status->nodes) {
@@ -84,7 +85,8 @@
     }
     if (status->evacuations.has_value()) {
       value["evacuations"] = {
-          {"revision", ToNumber(status->evacuations->revision)},
+          {"revision", CountOf(status->evacuations->revision)},
+          {"epoch", ToNumber(EpochOf(status->evacuations->revision))},
           {"objects", status->evacuations->data_centres.size()}};
     }
   } else {
--- a/lib/node/store_call_log.cc
+++ b/lib/node/store_call_log.cc
@@ -61,7 +61,7 @@
         .Field("away_ms",
                absl::ToInt64Milliseconds(MonotonicNow() - lost_since_))
         .Field("unanswered_ms", absl::ToInt64Milliseconds(UnansweredTime()))
-        .Field("revision", ToNumber(revision));
+        .Field("revision", ToText(revision));
   }
   lost_ = false;
   last_answer_ = MonotonicNow();
@@ -77,7 +77,7 @@
     LogLine(kStoreLost, Severity::kWarning)
         .Field("call", what)
         .Field("unanswered_ms", absl::ToInt64Milliseconds(UnansweredTime()))
-        .Field("revision", ToNumber(revision))
+        .Field("revision", ToText(revision))
         .Field("error", error.ToString());
   }
   lost_ = true;
@@ -89,24 +89,24 @@
   calls_.Increment();
   LogLine(kStoreHistoryGone)
       .Field("prefix", prefix)
-      .Field("position", ToNumber(position))
+      .Field("position", ToText(position))
       .Field("error", error.ToString());
 }
 
-void StoreCallLog::RecordEpoch(absl::optional<uint64_t> epoch,
+void StoreCallLog::RecordEpoch(absl::optional<Epoch> epoch,
                                Revision revision,
                                Revision position) {
   if (!epoch.has_value()) {
     answers_without_epoch_.Increment();
     return;
   }
-  epoch_gauge_.Set(*epoch);
+  epoch_gauge_.Set(ToNumber(*epoch));
   if (epoch_.has_value() && epoch_ != epoch) {
     LogLine(kStoreRestored, Severity::kWarning)
-        .Field("epoch", *epoch)
-        .Field("former_epoch", *epoch_)
-        .Field("revision", ToNumber(revision))
-        .Field("held", ToNumber(position));
+        .Field("epoch", ToNumber(*epoch))
+        .Field("former_epoch", ToNumber(*epoch_))
+        .Field("revision", ToText(revision))
+        .Field("held", ToText(position));
   }
   epoch_ = epoch;
 }
--- a/lib/node/store_call_log.h
+++ b/lib/node/store_call_log.h
@@ -1,8 +1,6 @@
 #ifndef SKYLARKSHUNT_LIB_NODE_STORE_CALL_LOG_H_
 #define SKYLARKSHUNT_LIB_NODE_STORE_CALL_LOG_H_
 
-#include <cstdint>
-
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
@@ -46,7 +44,7 @@
   /// Records the epoch that an answer names, and logs a change: the store was
   /// restored from another copy, which gives out revisions anew. `revision` is
   /// the one that the answer names, `position` that of the state in force.
-  void RecordEpoch(absl::optional<uint64_t> epoch,
+  void RecordEpoch(absl::optional<Epoch> epoch,
                    Revision revision,
                    Revision position);
   /// Counts objects below `prefix` that cannot be read. The others of the
@@ -73,7 +71,7 @@
   Counter& epoch_gauge_;
   Counter& answers_without_epoch_;
   LatencyMetric answer_time_;
-  absl::optional<uint64_t> epoch_;
+  absl::optional<Epoch> epoch_;
   bool lost_ = false;
   absl::Time lost_since_;
   absl::Time last_answer_;
--- a/lib/process/control_notice.cc
+++ b/lib/process/control_notice.cc
@@ -27,7 +27,7 @@
 void LogConfig(EventId event, Severity severity, const ConfigRecord& config) {
   LogLine(event, severity)
       .Field("key", config.key)
-      .Field("revision", ToNumber(config.revision))
+      .Field("revision", ToText(config.revision))
       .Field("deleted", config.deleted ? "true" : "false");
 }
 
--- a/standins/platform/platform_core.cc
+++ b/standins/platform/platform_core.cc
@@ -69,9 +69,11 @@
       page_size_(options.page_size),
       reports_epoch_(options.reports_epoch) {}
 
-PlatformAnswer PlatformCore::WithEpoch(PlatformAnswer answer) const {
+PlatformAnswer PlatformCore::WithEpoch(PlatformAnswer answer) {
   if (reports_epoch_)
     answer.epoch = epoch_;
+  if (std::exchange(restores_after_call_, false))
+    RestoreLocked();
   return answer;
 }
 
@@ -249,6 +251,15 @@
 
 void PlatformCore::Restore() {
   absl::MutexLock lock(&mutex_);
+  RestoreLocked();
+}
+
+void PlatformCore::RestoreAfterNextCall() {
+  absl::MutexLock lock(&mutex_);
+  restores_after_call_ = true;
+}
+
+void PlatformCore::RestoreLocked() {
   store_ = *copy_;
   ++epoch_;
   changed_.SignalAll();
--- a/standins/platform/platform_core.h
+++ b/standins/platform/platform_core.h
@@ -74,6 +74,8 @@
   /// its revisions are given out again, and waiting watches are cut off.
   /// Precondition: TakeCopy() was called.
   void Restore();
+  /// As Restore(), once the next call has been answered.
+  void RestoreAfterNextCall();
 
   void SetFault(const Fault& fault);
   CallCounts counts() const;
@@ -85,8 +87,9 @@
   /// ends here.
   absl::optional<PlatformAnswer> Admit(CallKind kind)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void RestoreLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   /// Returns `answer` with the present epoch.
-  PlatformAnswer WithEpoch(PlatformAnswer answer) const
+  PlatformAnswer WithEpoch(PlatformAnswer answer)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   PlatformAnswer ReadLocked(absl::string_view key)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -118,6 +121,7 @@
   ObjectStore store_ ABSL_GUARDED_BY(mutex_);
   absl::optional<ObjectStore> copy_ ABSL_GUARDED_BY(mutex_);
   uint64_t epoch_ ABSL_GUARDED_BY(mutex_) = 1;
+  bool restores_after_call_ ABSL_GUARDED_BY(mutex_) = false;
   CallLimiter writes_ ABSL_GUARDED_BY(mutex_);
   CallLimiter reads_ ABSL_GUARDED_BY(mutex_);
   Fault fault_ ABSL_GUARDED_BY(mutex_);
--- a/unittests/ctl/apply_test.cc
+++ b/unittests/ctl/apply_test.cc
@@ -30,8 +30,8 @@
     // before the draw, so this apply still carries 5 slots.
     CPPUNIT_ASSERT(ctl.Run({"service", "apply", mine}) == ExitCode::kConflict);
     CPPUNIT_ASSERT_MESSAGE(ctl.err(),
-                           Contains(ctl.err(), "based on revision 1"));
-    CPPUNIT_ASSERT(Contains(ctl.err(), "holds revision 2"));
+                           Contains(ctl.err(), "based on revision 1:1"));
+    CPPUNIT_ASSERT(Contains(ctl.err(), "holds revision 1:2"));
     CPPUNIT_ASSERT(Contains(ctl.err(), "slots  6         5"));
     CPPUNIT_ASSERT(Contains(ctl.err(), "remedy: "));
     CPPUNIT_ASSERT_EQUAL(6, int{Stored(ctl).slots});
@@ -44,7 +44,7 @@
     CPPUNIT_ASSERT(ctl.Run({"service", "apply", ctl.WriteAnswers(4)}) ==
                    ExitCode::kOk);
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, ctl.writes());
-    CPPUNIT_ASSERT(Contains(ctl.out(), "revision: 1"));
+    CPPUNIT_ASSERT(Contains(ctl.out(), "revision: 1:1"));
     CPPUNIT_ASSERT(Contains(ctl.out(), Stored(ctl).apply_id));
   }
 
--- a/unittests/ctl/view_test.cc
+++ b/unittests/ctl/view_test.cc
@@ -15,7 +15,7 @@
 std::string Instance(absl::string_view uid,
                      absl::string_view role,
                      absl::string_view state,
-                     int applied,
+                     uint64_t applied,
                      absl::string_view admin = "127.0.0.1:1") {
   return absl::StrCat(
       R"({"uid":")", uid, R"(","role":")", role,
@@ -71,8 +71,10 @@
 
   void ApplyWaitsUntilInForce() {
     std::atomic<int> polls{0};
+    const uint64_t applied = ToNumber(MakeRevision(Epoch{1}, 1));
     AdminServer entry([&](const std::string&) {
-      return Status(Instance("e1", "entry", "serving", ++polls > 2 ? 1 : 0));
+      return Status(
+          Instance("e1", "entry", "serving", ++polls > 2 ? applied : 0));
     });
     CtlHarness ctl;
     CPPUNIT_ASSERT(ctl.Run({"--entry", entry.address(), "service", "apply",
@@ -91,7 +93,7 @@
     CPPUNIT_ASSERT(ctl.Run({"--entry", silent, "service", "apply",
                             ctl.WriteAnswers(4), "--wait", "1"}) ==
                    ExitCode::kNotInForce);
-    CPPUNIT_ASSERT(Contains(ctl.out(), "revision: 1"));
+    CPPUNIT_ASSERT(Contains(ctl.out(), "revision: 1:1"));
     CPPUNIT_ASSERT(Contains(ctl.err(), "unavailable"));
   }
 
--- a/unittests/node/evacuation_test.cc
+++ b/unittests/node/evacuation_test.cc
@@ -235,7 +235,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("zone-a"), PlaceFlow());
     store_->core().SetFault({FaultMode::kDown});
     EvacuationReport report;
-    report.set = {Revision{1'000'000}, {HashOf("zone-a")}};
+    report.set = {MakeRevision(Epoch{1}, 1'000'000), {HashOf("zone-a")}};
     std::vector<uint8_t> bytes;
     EncodeNodeMessage(EntryReport(), bytes);
     peer.Send(kPeers, bytes);
--- a/unittests/platform/platform_client_test.cc
+++ b/unittests/platform/platform_client_test.cc
@@ -38,6 +38,11 @@
   CPPUNIT_TEST(ListIsReadToItsLastPage);
   CPPUNIT_TEST(LimitedCallsAreRejected);
   CPPUNIT_TEST(BadKeysAndBodiesAreRejected);
+  CPPUNIT_TEST(RevisionsAfterARestoreFollowAllOfBefore);
+  CPPUNIT_TEST(WatchFromBeforeARestoreNeedsAList);
+  CPPUNIT_TEST(ConditionOfBeforeARestoreProvesNothing);
+  CPPUNIT_TEST(ListAcrossARestoreFails);
+  CPPUNIT_TEST(StoreWithoutEpochsIsFollowedAsBefore);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -177,6 +182,109 @@
                        .error()
                        .kind == ErrorKind::kInvalidArgument);
   }
+
+  // Guards against taking a reissued revision for the change that had it
+  // before.
+  void RevisionsAfterARestoreFollowAllOfBefore() {
+    auto server = StartServer();
+    auto client = Connect(*server);
+    client->Write(kKey, "1", Revision{}).value();
+    server->core().TakeCopy();
+    const Revision first = client->Read(kKey).value().revision;
+    const Revision lost = client->Write(kKey, "2", first).value();
+    server->core().Restore();
+    const ConfigRecord restored = client->Read(kKey).value();
+    const ObjectList list = client->List("services/").value();
+    CPPUNIT_ASSERT(list.epoch == Epoch{2});
+    CPPUNIT_ASSERT(list.objects[0].revision == restored.revision);
+    CPPUNIT_ASSERT(ToNumber(restored.revision) > ToNumber(lost));
+    const Revision written =
+        client->Write(kKey, "3", restored.revision).value();
+    CPPUNIT_ASSERT(CountOf(written) == CountOf(lost));
+    CPPUNIT_ASSERT(ToNumber(written) > ToNumber(restored.revision));
+  }
+
+  // Guards against a change that is skipped because the restored store has
+  // passed the position of the watch, and against a position that stays beyond
+  // the restored store.
+  void WatchFromBeforeARestoreNeedsAList() {
+    auto server = StartServer();
+    auto client = Connect(*server);
+    server->core().TakeCopy();
+    const Revision position = client->Write(kKey, "1", Revision{}).value();
+    server->core().Restore();
+    CPPUNIT_ASSERT(Watch(*client, position).error().kind ==
+                   ErrorKind::kNotFound);
+    for (const char* key : {"services/a", "services/b"})
+      client->Write(key, "{}", Revision{}).value();
+    CPPUNIT_ASSERT(Watch(*client, position).error().kind ==
+                   ErrorKind::kNotFound);
+    const Revision listed = client->List("services/").value().revision;
+    CPPUNIT_ASSERT(Watch(*client, listed).value().epoch == Epoch{2});
+    // A watch that waits during a restore.
+    std::thread restore([&server] { server->core().Restore(); });
+    CPPUNIT_ASSERT(!client->Watch("services/", listed, kLongWait).has_value());
+    restore.join();
+    CPPUNIT_ASSERT(Watch(*client, listed).error().kind == ErrorKind::kNotFound);
+  }
+
+  // Guards against a conditional change that counts as done, although its
+  // revision was given out again to another change.
+  void ConditionOfBeforeARestoreProvesNothing() {
+    auto server = StartServer();
+    auto client = Connect(*server);
+    server->core().TakeCopy();
+    const Revision mine = client->Write(kKey, "1", Revision{}).value();
+    server->core().Restore();
+    const Revision other = client->Write(kKey, "2", Revision{}).value();
+    CPPUNIT_ASSERT_EQUAL(CountOf(mine), CountOf(other));
+    CPPUNIT_ASSERT(client->Write(kKey, "3", mine).error().kind ==
+                   ErrorKind::kOutcomeUnknown);
+    const Revision found = client->Read(kKey).value().revision;
+    CPPUNIT_ASSERT(client->Remove(kKey, MakeRevision(Epoch{1}, CountOf(found)))
+                       .error()
+                       .kind == ErrorKind::kOutcomeUnknown);
+  }
+
+  // Guards against a list that joins objects of two copies of the store.
+  void ListAcrossARestoreFails() {
+    PlatformCore::Options core;
+    core.page_size = 1;
+    auto server = StartServer(core);
+    auto client = Connect(*server);
+    for (const char* key : {"nodes/a", "nodes/b"})
+      client->Write(key, "{}", Revision{}).value();
+    server->core().TakeCopy();
+    server->core().RestoreAfterNextCall();
+    CPPUNIT_ASSERT(client->List("nodes/").error().kind ==
+                   ErrorKind::kUnavailable);
+    CPPUNIT_ASSERT_EQUAL(size_t{2},
+                         client->List("nodes/").value().objects.size());
+  }
+
+  void StoreWithoutEpochsIsFollowedAsBefore() {
+    PlatformCore::Options core;
+    core.reports_epoch = false;
+    auto server = StartServer(core);
+    auto client = Connect(*server);
+    const Revision first = client->Write(kKey, "1", Revision{}).value();
+    CPPUNIT_ASSERT(first == Revision{1});
+    client->Write(kKey, "2", first).value();
+    const ObjectList list = client->List("services/").value();
+    CPPUNIT_ASSERT(list.revision == Revision{2});
+    CPPUNIT_ASSERT(!list.epoch.has_value());
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         Watch(*client, first).value().changes.size());
+    // The header is missing in a single answer.
+    const Revision named = MakeRevision(Epoch{3}, 1);
+    CPPUNIT_ASSERT(Watch(*client, named).value().revision ==
+                   MakeRevision(Epoch{3}, 2));
+  }
+
+ private:
+  static Result<WatchBatch> Watch(PlatformClient& client, Revision after) {
+    return client.Watch("services/", after, absl::Milliseconds(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformClientTest);
--- a/unittests/platform/store_wire_test.cc
+++ b/unittests/platform/store_wire_test.cc
@@ -86,6 +86,7 @@
   CPPUNIT_TEST(DeepBodyIsNotWritten);
   CPPUNIT_TEST(MalformedAnswersAreRejected);
   CPPUNIT_TEST(RandomAnswersEndNoProcess);
+  CPPUNIT_TEST(OddEpochsCountAsMissing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -93,8 +94,8 @@
   // because another writer left an object that cannot be read.
   void OddObjectLeavesTheOthersOfItsPageInUse() {
     for (const std::string& odd : OddObjects()) {
-      const Result<StorePage> page =
-          ParsePage("nodes", Page({Object("a", "1"), odd, Object("z", "{}")}));
+      const Result<StorePage> page = ParsePage(
+          "nodes", Page({Object("a", "1"), odd, Object("z", "{}")}), Epoch{});
       CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 60), page.has_value());
       ExpectSoundOnes(page.value().objects, "nodes");
       CPPUNIT_ASSERT_EQUAL(size_t{1}, page.value().ignored.count);
@@ -105,8 +106,8 @@
   void OddObjectLeavesTheOtherEventsInUse() {
     for (const std::string& odd : OddObjects()) {
       const Result<WatchBatch> batch = ParseEvents(
-          "config",
-          Events({Object("a", "1"), odd, Object("z", "{}")}, "false"));
+          "config", Events({Object("a", "1"), odd, Object("z", "{}")}, "false"),
+          Epoch{});
       CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 60), batch.has_value());
       ExpectSoundOnes(batch.value().changes, "config");
       CPPUNIT_ASSERT_EQUAL(size_t{1}, batch.value().ignored.count);
@@ -117,7 +118,7 @@
   void RemovalOfAnOddObjectIsRead() {
     const std::string odd = Object("odd", Nested(250'000));
     const WatchBatch batch =
-        ParseEvents("nodes", Events({odd}, "true")).value();
+        ParseEvents("nodes", Events({odd}, "true"), Epoch{}).value();
     CPPUNIT_ASSERT_EQUAL(size_t{1}, batch.changes.size());
     CPPUNIT_ASSERT(batch.changes[0].deleted);
     CPPUNIT_ASSERT_EQUAL(std::string("nodes/odd"), batch.changes[0].key);
@@ -128,25 +129,30 @@
   void PageOfOddObjectsIsContinued() {
     const std::string odd = Object("odd", "1e999");
     const StorePage page =
-        ParsePage("nodes", Page({Object("a", "1"), odd}, "true")).value();
+        ParsePage("nodes", Page({Object("a", "1"), odd}, "true"), Epoch{})
+            .value();
     CPPUNIT_ASSERT(page.more);
     CPPUNIT_ASSERT_EQUAL(std::string("nodes/odd"), page.objects.back().key);
-    CPPUNIT_ASSERT(!ParsePage("nodes", Page({"7"}, "true")).has_value());
+    CPPUNIT_ASSERT(
+        !ParsePage("nodes", Page({"7"}, "true"), Epoch{}).has_value());
   }
 
   void BodiesKeepTheirText() {
     const std::string spec =
         R"( {"a" : "b\"}\\", "c":[1, 2.5, {"d":null}], "e":"]" } )";
     const StorePage page =
-        ParsePage("nodes", Page({Object("a", spec)})).value();
+        ParsePage("nodes", Page({Object("a", spec)}), Epoch{}).value();
     CPPUNIT_ASSERT_EQUAL(spec.substr(1, spec.size() - 2),
                          page.objects.at(0).body);
     const std::string deepest = Nested(kMaxJsonDepth);
     CPPUNIT_ASSERT_EQUAL(
-        deepest, ParseObject("nodes", Object("a", deepest)).value().body);
+        deepest,
+        ParseObject("nodes", Object("a", deepest), Epoch{}).value().body);
     CPPUNIT_ASSERT_EQUAL(
         std::string("null"),
-        ParseObject("nodes", R"({"meta":{"name":"a","rev":1}})").value().body);
+        ParseObject("nodes", R"({"meta":{"name":"a","rev":1}})", Epoch{})
+            .value()
+            .body);
   }
 
   void DeepBodyIsNotWritten() {
@@ -161,7 +167,7 @@
           R"({"current-rev":1,"items":[)", R"({"current-rev":1,"items":[]}x)",
           R"({"current-rev":1,"items":[],})", R"({"current-rev":1 "items":[]})",
           R"({"current-rev":"1","items":[]})"}) {
-      const Result<StorePage> page = ParsePage("nodes", text);
+      const Result<StorePage> page = ParsePage("nodes", text, Epoch{});
       CPPUNIT_ASSERT_MESSAGE(text, !page.has_value());
       CPPUNIT_ASSERT(page.error().kind == ErrorKind::kMalformedMessage);
     }
@@ -190,11 +196,26 @@
             text.insert(at, odd[2 + random() % 12]);
         }
       }
-      static_cast<void>(ParsePage("nodes", text));
-      static_cast<void>(ParseEvents("nodes", text));
-      static_cast<void>(ParseObject("nodes", text));
+      static_cast<void>(ParsePage("nodes", text, Epoch{}));
+      static_cast<void>(ParseEvents("nodes", text, Epoch{}));
+      static_cast<void>(ParseObject("nodes", text, Epoch{}));
     }
   }
+
+  // Guards against a header of another writer that is taken for a restore, and
+  // against a revision that reads as one of another epoch.
+  void OddEpochsCountAsMissing() {
+    CPPUNIT_ASSERT(ParseEpoch("7") == Epoch{7});
+    CPPUNIT_ASSERT(ParseEpoch("65535") == Epoch{65535});
+    for (const char* text :
+         {"", " ", "x", "-1", "65536", "4294967297", "7.0", "7, 8", "0x7"})
+      CPPUNIT_ASSERT(!ParseEpoch(text).has_value());
+    const std::string page = R"({"current-rev":281474976710656,"items":[]})";
+    CPPUNIT_ASSERT(!ParsePage("kind", page, Epoch{}).has_value());
+    const Revision revision =
+        ParsePage("kind", Page({}), Epoch{2}).value().revision;
+    CPPUNIT_ASSERT_EQUAL(std::string("2:9"), ToText(revision));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreWireTest);
--- a/unittests/platform_adapter/platform_adapter_test.cc
+++ b/unittests/platform_adapter/platform_adapter_test.cc
@@ -422,25 +422,27 @@
     const std::string page =
         R"({"items":[{"meta":{"name":"a","rev":3},"spec":{"x":1}}],
             "more":false,"current-rev":9})";
-    CPPUNIT_ASSERT_EQUAL(std::string("kind/a"),
-                         ParsePage("kind", page).value().objects[0].key);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("kind/a"),
+        ParsePage("kind", page, Epoch{}).value().objects[0].key);
     const std::string odd = Replaced(page, "\"rev\":3", "\"rev\":\"3\"");
-    CPPUNIT_ASSERT(ParsePage("kind", odd).value().objects.empty());
+    CPPUNIT_ASSERT(ParsePage("kind", odd, Epoch{}).value().objects.empty());
     CPPUNIT_ASSERT_EQUAL(size_t{1},
-                         ParsePage("kind", odd).value().ignored.count);
-    CPPUNIT_ASSERT(
-        !ParsePage("kind", Replaced(page, ":9}", ":\"9\"}")).has_value());
+                         ParsePage("kind", odd, Epoch{}).value().ignored.count);
+    CPPUNIT_ASSERT(!ParsePage("kind", Replaced(page, ":9}", ":\"9\"}"), Epoch{})
+                        .has_value());
     const std::string events =
         R"({"events":[{"removed":true,"object":{"meta":{"name":"a","rev":3}}}],
             "current-rev":9})";
-    CPPUNIT_ASSERT(ParseEvents("kind", events).value().changes[0].deleted);
+    CPPUNIT_ASSERT(
+        ParseEvents("kind", events, Epoch{}).value().changes[0].deleted);
     Fuzz(page, [](const std::string& text) {
-      static_cast<void>(ParsePage("kind", text));
-      static_cast<void>(ParseEvents("kind", text));
-      static_cast<void>(ParseObject("kind", text));
+      static_cast<void>(ParsePage("kind", text, Epoch{}));
+      static_cast<void>(ParseEvents("kind", text, Epoch{}));
+      static_cast<void>(ParseObject("kind", text, Epoch{}));
     });
     Fuzz(events, [](const std::string& text) {
-      static_cast<void>(ParseEvents("kind", text));
+      static_cast<void>(ParseEvents("kind", text, Epoch{}));
     });
   }
 
