Register a node again once the store was restored

Callers would see: entries that start after a restore do not find the nodes whose registrations the store lost, and route no flow to their agents unless another node tells them.

Cause: a node took its registration for permanent once it had written or found it.

Change: a node checks its registration once it sees a new epoch, in an answer of the store or in the configuration that a peer passes on, since agents do not follow the store. Each check reads one object and writes it only if it is missing or differs. The checks of a fleet are spread over 2 to 4 times the time in which the store takes that many writing calls (platform.writes-per-s), 0.5 to 1 s at least. A list of nodes, which an isolated node reads every second, checks the registration as well.

--- a/include/skylarkshunt/node/node_options.h
+++ b/include/skylarkshunt/node/node_options.h
@@ -49,6 +49,8 @@
   /// Addresses of entries. They are hints and may be outdated or down.
   std::vector<uint32_t> seeds;
   Endpoint store;
+  /// Writing calls per second that the store accepts from all nodes together.
+  uint32_t store_writes_per_second = 400;
   /// Time within which a change of the configuration must be in force, also
   /// after the store was unavailable.
   absl::Duration change_limit = absl::Seconds(3);
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -100,6 +100,7 @@
                 Wakeup stop)
       : options_(options),
         prefix_(options.key.substr(0, options.key.find('/') + 1)),
+        node_key_(absl::StrCat(kNodesPrefix, options.node.name)),
         store_(std::move(store)),
         watch_store_(std::move(watch)),
         initial_store_(std::move(first)),
@@ -341,7 +342,6 @@
     // After a configuration of a peer, watch for changes without a list. A list
     // would transfer the same configuration again.
     bool listed = position_.revision() != Revision{};
-    bool registered = false;
     bool nodes_read = false;
     absl::Time next_nodes = absl::InfinitePast();
     absl::Time next_watch = absl::InfinitePast();
@@ -363,14 +363,17 @@
       absl::Time now = MonotonicNow();
       bool needs_nodes = !nodes_read || !options_.is_connected();
       if (needs_nodes && now >= next_nodes) {
-        nodes_read = ReadNodes(registered);
+        nodes_read = ReadNodes();
         needs_nodes = !nodes_read || !options_.is_connected();
         now = MonotonicNow();
         next_nodes =
             now + (nodes_read ? kIsolatedListInterval : backoff_.OnFailure());
       }
+      if (nodes_read && CheckRegistrationWhenDue(now))
+        now = MonotonicNow();
       if (!is_entry()) {
-        Sleep(needs_nodes ? next_nodes - now : kAgentCheckInterval);
+        Sleep(std::min(needs_nodes ? next_nodes - now : kAgentCheckInterval,
+                       next_registration_ - now));
         continue;
       }
       // The configuration is followed while the list of nodes fails too.
@@ -463,28 +466,25 @@
 
   /// Reads the addresses of all nodes, and registers the local one if it is
   /// missing or differs. Returns false if a call failed.
-  bool ReadNodes(bool& registered) {
+  bool ReadNodes() {
     const absl::Time begun = MonotonicNow();
     const Result<ObjectList> list = store_->List(kNodesPrefix);
     if (!RecordCall(list, "list_nodes", begun))
       return false;
     calls_.RecordIgnored(kNodesPrefix, list.value().ignored);
-    const std::string key = absl::StrCat(kNodesPrefix, options_.node.name);
-    const nlohmann::json self = {{"address", options_.node.peers.ToString()},
-                                 {"role", is_entry() ? "entry" : "agent"}};
-    Revision held{};
+    listed_nodes_ = list.value().objects.size();
+    const ConfigRecord* own = nullptr;
     size_t ignored = 0;
     std::string first_ignored;
     for (const ConfigRecord& record : list.value().objects) {
-      const nlohmann::json value =
-          nlohmann::json::parse(record.body, nullptr, false);
-      if (record.key == key) {
-        held = record.revision;
-        registered = registered || value == self;
+      if (record.key == node_key_) {
+        own = &record;
         continue;
       }
-      if (!LearnNode(value) && ++ignored == 1)
+      if (!LearnNode(nlohmann::json::parse(record.body, nullptr, false)) &&
+          ++ignored == 1) {
         first_ignored = record.key;
+      }
     }
     if (ignored != ignored_objects_ && ignored > 0) {
       LogLine(kNodeObjectsIgnored, Severity::kWarning)
@@ -493,14 +493,65 @@
           .Field("reason", "no address and role that a node writes");
     }
     ignored_objects_ = ignored;
-    if (registered)
+    checked_epoch_ = EpochOf(list.value().revision);
+    return Register(own);
+  }
+
+  /// Checks the local node's registration once the store has been restored,
+  /// since the store may have lost it. The checks of all nodes are spread over
+  /// the time in which the store can take the registrations of all of them.
+  /// Returns whether it made a call.
+  bool CheckRegistrationWhenDue(absl::Time now) {
+    const Epoch epoch =
+        std::max(EpochOf(held().revision), EpochOf(position_.revision()));
+    if (ToNumber(epoch) <= ToNumber(checked_epoch_))
+      return false;
+    if (next_registration_ == absl::InfiniteFuture()) {
+      const absl::Duration spread = kRegistrationSpread *
+                                    absl::Seconds(listed_nodes_) /
+                                    options_.node.store_writes_per_second;
+      next_registration_ = now + backoff_.Jitter(std::max(spread, kMinSpread));
+    }
+    if (now < next_registration_)
+      return false;
+    if (CheckRegistration()) {
+      checked_epoch_ = epoch;
+      next_registration_ = absl::InfiniteFuture();
+    } else {
+      next_registration_ = MonotonicNow() + backoff_.OnFailure();
+    }
+    return true;
+  }
+
+  /// Reads the local node's registration, and writes it if it is missing or
+  /// differs. Returns false if a call failed.
+  bool CheckRegistration() {
+    const absl::Time begun = MonotonicNow();
+    const Result<ConfigRecord> own = store_->Read(node_key_);
+    if (!own.has_value() && own.error().kind == ErrorKind::kNotFound)
+      return Register(nullptr);
+    // A list has the revision of an object that cannot be read.
+    if (!own.has_value() && own.error().kind == ErrorKind::kMalformedMessage)
+      return ReadNodes();
+    return RecordCall(own, "read_registration", begun) &&
+           Register(&own.value());
+  }
+
+  /// Writes the registration of the local node unless it is `own`, which is
+  /// null if the store has none. Returns false if a call failed.
+  bool Register(const ConfigRecord* own) {
+    const nlohmann::json self = {{"address", options_.node.peers.ToString()},
+                                 {"role", is_entry() ? "entry" : "agent"}};
+    if (own != nullptr &&
+        nlohmann::json::parse(own->body, nullptr, false) == self) {
       return true;
-    const absl::Time write_begun = MonotonicNow();
-    const Result<Revision> written = store_->Write(key, self.dump(), held);
-    if (!RecordCall(written, "register_node", write_begun))
+    }
+    const absl::Time begun = MonotonicNow();
+    const Result<Revision> written = store_->Write(
+        node_key_, self.dump(), own == nullptr ? Revision{} : own->revision);
+    if (!RecordCall(written, "register_node", begun))
       return false;
-    registered = true;
-    LogLine(kRegistered).Field("key", key).Field("value", self.dump());
+    LogLine(kRegistered).Field("key", node_key_).Field("value", self.dump());
     return true;
   }
 
@@ -630,6 +681,11 @@
 
   /// Time between two lists of nodes while no other node is responsive.
   static constexpr absl::Duration kIsolatedListInterval = absl::Seconds(1);
+  /// Least time over which the checks of registrations are spread.
+  static constexpr absl::Duration kMinSpread = absl::Seconds(1);
+  /// Time over which the checks are spread, as a multiple of the one in which
+  /// the store accepts that many writing calls. Jitter uses the second half.
+  static constexpr int kRegistrationSpread = 4;
   /// Interval at which an agent checks whether other nodes are responsive.
   static constexpr absl::Duration kAgentCheckInterval = absl::Seconds(2);
   /// Links up to 20 Mbit/s count as slow. The largest configuration of the
@@ -646,6 +702,8 @@
   const Options options_;
   /// Kind of the configuration object, with a trailing slash.
   const std::string prefix_;
+  /// Key of the local node's registration.
+  const std::string node_key_;
   const std::unique_ptr<PlatformClient> store_;
   /// Client whose calls are given up as WatchSchedule asks.
   const std::unique_ptr<PlatformClient> watch_store_;
@@ -666,7 +724,7 @@
   /// offered.
   ConfigurationId offered_;
   absl::Time offered_at_ = MonotonicNow();
-  // The next seven are used by store_thread_ only.
+  // The next ten are used by store_thread_ only.
   StoreCallLog calls_;
   WatchSchedule watches_;
   WatchPosition position_{kSettleTime};
@@ -675,6 +733,12 @@
   /// Digest of the last configuration that was read from the store.
   uint64_t read_digest_ = 0;
   size_t ignored_objects_ = 0;
+  /// Number of registered nodes in the last list.
+  size_t listed_nodes_ = 0;
+  /// Epoch in which the registration was last found or written, and when it is
+  /// checked next; the infinite future unless the store was restored since.
+  Epoch checked_epoch_{};
+  absl::Time next_registration_ = absl::InfiniteFuture();
   Backoff backoff_;
   mutable absl::Mutex mutex_;
   ConfigurationId held_ ABSL_GUARDED_BY(mutex_);
