Test that a reissued revision settles no lost answer of an operator

A change of skylarkshuntctl whose answer was lost reads the object back and waits while it has the expected revision. After a restore another change may have that number. The epoch in the revision makes it another change, so that the operator is told at once; the case guards that. The rest of settle.cc is sound as it is: the apply id proves a change that took effect, in any epoch.

--- a/unittests/ctl/settle_test.cc
+++ b/unittests/ctl/settle_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(UnchangedObjectProvesNothing);
   CPPUNIT_TEST(OtherChangeIsConflict);
   CPPUNIT_TEST(RemovalIsSettledByAbsence);
+  CPPUNIT_TEST(ReissuedRevisionIsAnotherChange);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -111,6 +112,24 @@
             .kind == ErrorKind::kConflict);
   }
 
+  // Guards against waiting for a change that can no longer take effect, since a
+  // restored store gave its condition to another change.
+  void ReissuedRevisionIsAnotherChange() {
+    const Revision before = MakeRevision(Epoch{1}, 7);
+    const Revision reissued = MakeRevision(Epoch{2}, 7);
+    LossyClient changed({ConfigRecord{"services/x", reissued, false, kOther}});
+    CPPUNIT_ASSERT(
+        Write(changed, ToNumber(before), absl::Seconds(60)).error().kind ==
+        ErrorKind::kConflict);
+    CPPUNIT_ASSERT(
+        RemoveSettled(changed, "services/x", before, absl::Seconds(60))
+            .error()
+            .kind == ErrorKind::kConflict);
+    LossyClient done({ConfigRecord{"services/x", reissued, false, kMine}});
+    CPPUNIT_ASSERT(Write(done, ToNumber(before), absl::Seconds(60)).value() ==
+                   reissued);
+  }
+
  private:
   static Result<Revision> Write(PlatformClient& client,
                                 uint64_t expected,
