Keep evacuations that a restored store lacks, for a limited time

Callers would see: flows to a data centre whose evacuation was confirmed, from the restore of the store until the operator has written it again.

Cause: the first list after a restore replaced the known objects. Of the two beliefs about an object that the restored store lacks, the one that keeps flows away from the data centre is the safe one.

Change: such objects count on for twice the limit of an evacuation, or until a watch shows them. Objects that are there again although they had ended are followed, since the operator removes them again. While an entry's own reads fail, the set of a peer from another epoch counts in addition to the last set. SKS5170 has the number of objects that count in this way.

EvacuationThatARestoredStoreLostCountsForALimitedTime failed on in a scratch copy and passes.

--- a/include/skylarkshunt/forwarding/evacuations.h
+++ b/include/skylarkshunt/forwarding/evacuations.h
@@ -36,6 +36,14 @@
   /// Replaces the objects by those of a list. Records with unexpected names,
   /// and those beyond kMaxObjects, are ignored.
   Ignored Replace(absl::Span<const ConfigRecord> listed);
+  /// As Replace(), for the first list of a store that was restored from an
+  /// older copy. Objects that it lacks count on until DropLost(), since the
+  /// operator may not have written them again yet.
+  Ignored ReplaceRestored(absl::Span<const ConfigRecord> listed);
+  /// Removes the objects that the restored store still lacks.
+  void DropLost() { lost_.clear(); }
+  /// Returns the number of objects that count although the store lacks them.
+  size_t lost() const { return lost_.size(); }
   /// Applies the changes of a watch in their order.
   Ignored Apply(absl::Span<const ConfigRecord> changes);
   /// Whether there is room again for objects that were ignored beyond
@@ -56,12 +64,17 @@
   const std::string prefix_;
   /// StableHash() of the names.
   absl::flat_hash_set<uint64_t> objects_;
+  /// StableHash() of names that were in objects_ before the store was restored
+  /// and that it has not shown since. At most 2 * kMaxObjects.
+  absl::flat_hash_set<uint64_t> lost_;
   bool is_truncated_ = false;
 };
 
 /// Decides which data centres an entry sends no new flow to. What the entry
 /// itself reads from the store counts. While its reads fail, the set of another
-/// entry counts if its revision is higher. Pure and not thread-safe.
+/// entry counts if its revision is higher; if the store was restored since, in
+/// addition to the last set, of which the store may have lost a part. Pure and
+/// not thread-safe.
 class EvacuationState {
  public:
   /// Records a successful read, which found `set`. Returns whether the data
--- a/lib/forwarding/evacuations.cc
+++ b/lib/forwarding/evacuations.cc
@@ -42,6 +42,13 @@
   return Apply(listed);
 }
 
+EvacuationObjects::Ignored EvacuationObjects::ReplaceRestored(
+    absl::Span<const ConfigRecord> listed) {
+  if (lost_.size() < kMaxObjects)
+    lost_.insert(objects_.begin(), objects_.end());
+  return Replace(listed);
+}
+
 EvacuationObjects::Ignored EvacuationObjects::Apply(
     absl::Span<const ConfigRecord> changes) {
   Ignored ignored;
@@ -52,6 +59,7 @@
       continue;
     }
     const uint64_t hash = StableHash(name, 0);
+    lost_.erase(hash);
     if (record.deleted) {
       objects_.erase(hash);
     } else if (objects_.size() < kMaxObjects || objects_.contains(hash)) {
@@ -66,9 +74,11 @@
 
 std::vector<uint32_t> EvacuationObjects::DataCentres() const {
   std::vector<uint32_t> data_centres;
-  data_centres.reserve(objects_.size());
+  data_centres.reserve(objects_.size() + lost_.size());
   for (const uint64_t hash : objects_)
     data_centres.push_back(static_cast<uint32_t>(hash));
+  for (const uint64_t hash : lost_)
+    data_centres.push_back(static_cast<uint32_t>(hash));
   std::sort(data_centres.begin(), data_centres.end());
   data_centres.erase(std::unique(data_centres.begin(), data_centres.end()),
                      data_centres.end());
@@ -92,7 +102,14 @@
 bool EvacuationState::OnPeerSet(EvacuationSet set) {
   if (!IsNewer(set, in_force_.revision))
     return false;
-  std::sort(set.data_centres.begin(), set.data_centres.end());
+  std::vector<uint32_t>& data_centres = set.data_centres;
+  if (is_known_ && EpochOf(set.revision) != EpochOf(in_force_.revision)) {
+    data_centres.insert(data_centres.end(), in_force_.data_centres.begin(),
+                        in_force_.data_centres.end());
+  }
+  std::sort(data_centres.begin(), data_centres.end());
+  data_centres.erase(std::unique(data_centres.begin(), data_centres.end()),
+                     data_centres.end());
   if (!is_store_answering_)
     return Adopt(std::move(set));
   // The read that is under way may have been lost.
--- a/lib/node/evacuation_follower.cc
+++ b/lib/node/evacuation_follower.cc
@@ -146,8 +146,14 @@
     calls_.RecordEpoch(list.value().epoch, list.value().revision,
                        position_.revision());
     calls_.RecordIgnored(options_.prefix, list.value().ignored);
-    RecordIgnored(objects_.Replace(list.value().objects));
-    position_.Reset(list.value().revision);
+    const Revision revision = list.value().revision;
+    if (is_known_ && EpochOf(revision) != EpochOf(position_.revision())) {
+      RecordIgnored(objects_.ReplaceRestored(list.value().objects));
+      drop_lost_ = MonotonicNow() + 2 * options_.node.evacuation_limit;
+    } else {
+      RecordIgnored(objects_.Replace(list.value().objects));
+    }
+    position_.Reset(revision);
     RecordRead("list", list.value().objects, begun);
     return true;
   }
@@ -191,6 +197,8 @@
   void RecordRead(absl::string_view call,
                   absl::Span<const ConfigRecord> records,
                   absl::Time begun) {
+    if (MonotonicNow() >= drop_lost_)
+      objects_.DropLost();
     auto set = std::make_shared<EvacuationSet>();
     set->revision = position_.revision();
     set->data_centres = objects_.DataCentres();
@@ -207,6 +215,7 @@
         .Field("revision", ToText(last_->revision))
         .Field("objects", last_->data_centres.size())
         .Field("changes", NamesOf(records, options_.prefix))
+        .Field("lost", objects_.lost())
         .Field("call", call)
         .Field("took_ms", absl::ToInt64Milliseconds(MonotonicNow() - begun));
   }
@@ -252,7 +261,7 @@
   const std::unique_ptr<PlatformClient> initial_store_;
   Counter& revision_gauge_;
   Counter& ignored_;
-  // The next ten are used by thread_ only.
+  // The next eleven are used by thread_ only.
   StoreCallLog calls_;
   EvacuationObjects objects_;
   WatchSchedule watches_;
@@ -260,6 +269,9 @@
   Backoff backoff_;
   std::shared_ptr<const EvacuationSet> last_;
   absl::Time last_begun_;
+  /// When the objects that a restored store lacks no longer count: the limit
+  /// for the operator to write them again, and once more for the change.
+  absl::Time drop_lost_ = absl::InfiniteFuture();
   bool is_known_ = false;
   bool is_sent_ = false;
   absl::Time next_ignored_log_ = absl::InfinitePast();
--- a/unittests/forwarding/evacuations_test.cc
+++ b/unittests/forwarding/evacuations_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST_SUITE(EvacuationObjectsTest);
   CPPUNIT_TEST(ObjectsWithUnexpectedNamesLeaveTheOthersInUse);
   CPPUNIT_TEST(ObjectsBeyondTheLimitAreListedOnceThereIsRoom);
+  CPPUNIT_TEST(ObjectsThatARestoredStoreLacksCountUntilTheyAreDropped);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -72,6 +73,28 @@
     CPPUNIT_ASSERT(objects_.needs_list());
   }
 
+  // Guards against flows to a data centre whose evacuation was confirmed, until
+  // the operator has written it again, and against an evacuation without end.
+  void ObjectsThatARestoredStoreLacksCountUntilTheyAreDropped() {
+    objects_.Replace({Object("zone-a"), Object("zone-b"), Object("zone-c")});
+    // An evacuation that had ended is there again.
+    objects_.ReplaceRestored({Object("zone-a"), Object("zone-d")});
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, objects_.lost());
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, objects_.DataCentres().size());
+    // Written again, and taken back again.
+    objects_.Apply({Object("zone-b"), Object("zone-d", true)});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, objects_.lost());
+    // A second restore, and another list, during that time.
+    objects_.ReplaceRestored({Object("zone-a")});
+    objects_.Replace({Object("zone-a")});
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, objects_.lost());
+    objects_.Apply({Object("zone-b", true)});
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, objects_.DataCentres().size());
+    objects_.DropLost();
+    CPPUNIT_ASSERT(objects_.DataCentres() ==
+                   std::vector<uint32_t>{HashOf("zone-a")});
+  }
+
  private:
   EvacuationObjects objects_{"evacuations/"};
 };
@@ -81,6 +104,7 @@
   CPPUNIT_TEST(SetOfAPeerIsUsedWhileTheStoreFailsIfItIsNewer);
   CPPUNIT_TEST(SetOfAPeerIsNotUsedWhileTheStoreAnswers);
   CPPUNIT_TEST(EntryThatStartsUsesTheSetOfAPeer);
+  CPPUNIT_TEST(SetOfAPeerAfterARestoreDoesNotEndAnEvacuation);
   CPPUNIT_TEST(ReportsAreBounded);
   CPPUNIT_TEST(MessageIsBoundedAndSurvivesARoundTrip);
   CPPUNIT_TEST_SUITE_END();
@@ -123,6 +147,24 @@
     CPPUNIT_ASSERT(state_.is_known());
   }
 
+  // Guards against flows to an evacuated data centre because a peer started
+  // after the restore and read a store that lacks the evacuation.
+  void SetOfAPeerAfterARestoreDoesNotEndAnEvacuation() {
+    const auto in_epoch = [](uint16_t epoch, uint64_t count,
+                             std::vector<uint32_t> data_centres) {
+      return EvacuationSet{MakeRevision(Epoch{epoch}, count),
+                           std::move(data_centres)};
+    };
+    state_.OnStoreAnswered(in_epoch(1, 20, {kNorth}));
+    state_.OnStoreFailed();
+    // The count is lower than the one of before.
+    CPPUNIT_ASSERT(state_.OnPeerSet(in_epoch(2, 18, {kSouth})));
+    CPPUNIT_ASSERT((Evacuated() == std::vector<uint32_t>{kNorth, kSouth}));
+    CPPUNIT_ASSERT(!state_.OnPeerSet(in_epoch(1, 21, {})));
+    CPPUNIT_ASSERT(state_.OnPeerSet(in_epoch(2, 19, {kSouth})));
+    CPPUNIT_ASSERT(Evacuated() == std::vector<uint32_t>{kSouth});
+  }
+
   // Guards against reports that leave out the data centres that matter, and
   // against an entry that never gets one in a large fleet.
   void ReportsAreBounded() {
--- a/unittests/node/evacuation_test.cc
+++ b/unittests/node/evacuation_test.cc
@@ -88,6 +88,8 @@
   CPPUNIT_TEST(ChangeBeforeTheHistoryIsGoneIsNotMissed);
   CPPUNIT_TEST(SetThatTheDataThreadRefusedIsSentAgain);
   CPPUNIT_TEST(RefreshReadsAllObjects);
+  CPPUNIT_TEST(EvacuationThatARestoredStoreLostCountsForALimitedTime);
+  CPPUNIT_TEST(EvacuationsOfARestoredStoreAreFollowed);
   CPPUNIT_TEST(OddObjectsLeaveTheOthersInUse);
   CPPUNIT_TEST(UnavailableStoreIsReportedAndQueriedAgain);
   CPPUNIT_TEST(EntryPlacesNoFlowInTheDataCentre);
@@ -167,6 +169,43 @@
     AwaitCalls(CallKind::kList, 2);
   }
 
+  // Guards against flows to a data centre whose evacuation was confirmed and
+  // then lost, and against one that stays evacuated although nobody asks for
+  // it.
+  void EvacuationThatARestoredStoreLostCountsForALimitedTime() {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await({}, kLongWait));
+    store_->core().TakeCopy();
+    Evacuate("zone-a");
+    CPPUNIT_ASSERT(received_.Await({HashOf("zone-a")}, kObjective));
+    store_->core().Restore();
+    const absl::Time restored = absl::Now();
+    // The time counts from the first answer after the restore.
+    CPPUNIT_ASSERT(!received_.Await({}, 2 * kLimit - absl::Seconds(1)));
+    CPPUNIT_ASSERT(received_.Await({}, kLongWait));
+    CPPUNIT_ASSERT(absl::Now() - restored >= 2 * kLimit - absl::Seconds(1));
+  }
+
+  // Guards against a change that is missed because the restored store gives out
+  // the position of the watch again.
+  void EvacuationsOfARestoredStoreAreFollowed() {
+    const uint64_t ended = Evacuate("zone-b");
+    Follow();
+    CPPUNIT_ASSERT(received_.Await({HashOf("zone-b")}, kLongWait));
+    store_->core().TakeCopy();
+    store_->core().Remove(absl::StrCat(kPrefix, "zone-b"), ended);
+    Evacuate("zone-a");
+    CPPUNIT_ASSERT(received_.Await({HashOf("zone-a")}, kObjective));
+    store_->core().Restore();
+    Evacuate("zone-a");
+    Evacuate("zone-c");
+    CPPUNIT_ASSERT(received_.Await(
+        {HashOf("zone-a"), HashOf("zone-b"), HashOf("zone-c")}, kLimit));
+    store_->core().Remove(absl::StrCat(kPrefix, "zone-b"), ended);
+    CPPUNIT_ASSERT(
+        received_.Await({HashOf("zone-a"), HashOf("zone-c")}, kObjective));
+  }
+
   // Guards against an evacuation that is missed because of objects of another
   // writer: huge, deep, several pages of them, or with unexpected bodies. Only
   // the names count.
