Test changes after a restore in the caller protocol

The stand-in platform takes POST /copy and /restore. In a deployment of the caller protocol, an operator's change after the restore must be in force everywhere, although its count is one that all nodes hold. The epoch in the revision orders it; ChangeAfterARestoreIsInForce guards that.

--- a/standins/deployment/deployment.cc
+++ b/standins/deployment/deployment.cc
@@ -282,6 +282,14 @@
   return Post(platform_, "/fault", json);
 }
 
+Result<void> Deployment::CopyPlatform() {
+  return Post(platform_, "/copy", "{}");
+}
+
+Result<void> Deployment::RestorePlatform() {
+  return Post(platform_, "/restore", "{}");
+}
+
 Result<void> Deployment::SetFabricFault(const std::string& json) {
   return Post(fabric_admin_, "/fault", json);
 }
--- a/standins/deployment/deployment.h
+++ b/standins/deployment/deployment.h
@@ -70,6 +70,9 @@
   /// fabric's faults back, {"mode":"none"} the platform's. Errors:
   /// kUnavailable.
   Result<void> SetPlatformFault(const std::string& json);
+  /// Keeps a copy of the platform's objects; returns to it in a new epoch.
+  Result<void> CopyPlatform();
+  Result<void> RestorePlatform();
   Result<void> SetFabricFault(const std::string& json);
   /// Makes the fabric spray over all entries started so far. It leaves out
   /// those that are not healthy. Errors: kUnavailable.
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -209,6 +209,16 @@
                                         const httplib::Request& request) {
                  return SetFault(core, request.body);
                }));
+  server_.Post("/copy",
+               Wrap(core_, [](PlatformCore& core, const httplib::Request&) {
+                 core.TakeCopy();
+                 return MakeAnswer(kOk, "{}");
+               }));
+  server_.Post("/restore",
+               Wrap(core_, [](PlatformCore& core, const httplib::Request&) {
+                 core.Restore();
+                 return MakeAnswer(kOk, "{}");
+               }));
   server_.Get("/calls",
               Wrap(core_, [](PlatformCore& core, const httplib::Request&) {
                 return Calls(core);
--- a/unittests/failures/platform_failure_test.cc
+++ b/unittests/failures/platform_failure_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(PlatformFailureTest);
   CPPUNIT_TEST(OutageStopsChangesOnly);
   CPPUNIT_TEST(LostAnswerAndRaceLeaveOneRevision);
+  CPPUNIT_TEST(ChangeAfterARestoreIsInForce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -83,6 +84,24 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, watch.reversals());
   }
 
+  // P8: guards against nodes that ignore each change of an operator, since the
+  // restored platform gives out revisions that they already hold.
+  void ChangeAfterARestoreIsInForce() {
+    StartDeployment(49);
+    CPPUNIT_ASSERT(deployment().CopyPlatform());
+    for (const int slots : {5, 6, 7}) {
+      CPPUNIT_ASSERT_EQUAL(
+          0, Ctl({"service", "apply", WriteQuestionnaire(0, slots), "--wait",
+                  "9"}));
+    }
+    const uint64_t before = HighestApplied();
+    CPPUNIT_ASSERT(deployment().RestorePlatform());
+    CPPUNIT_ASSERT_EQUAL(
+        0, Ctl({"service", "apply", WriteQuestionnaire(0, 8), "--wait", "9"}));
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return AllApplied(before); }, kInForceLimit));
+  }
+
  private:
   using Applied = std::map<std::string, uint64_t>;
 
