Add a soak of a store that comes back from older copies

The profile restores takes a copy of the store, loses up to eight changes made since, returns to the copy while the store is away or at once, and has the operator write the present configuration again within a second, beside other faults of the store, restarts and kills.

--- a/standins/packet_fleet/configuration_judge.h
+++ b/standins/packet_fleet/configuration_judge.h
@@ -12,7 +12,8 @@
 namespace skylarkshunt {
 
 /// Judges rule CONFIG: a version is used by every entry within its bound after
-/// its confirmation. Entries are excused while they, the store or the way to it
+/// its confirmation, and no process of an entry goes back to an older one. For
+/// the bound, entries are excused while they, the store or the way to it
 /// are disturbed, and for the stable window after that; the two times do not
 /// add up. Not thread-safe.
 class ConfigurationJudge {
@@ -37,11 +38,20 @@
   /// Returns the highest version whose bound has passed, or 0.
   uint64_t DueVersion(absl::Time now) const;
   void Ask(size_t entry, uint64_t due);
+  /// Asks an entry whether it went back to an older version since its start.
+  void AskForRegression(size_t entry);
 
   const PacketFleet& fleet_;
   const FaultInjector& faults_;
+  /// Highest version that a process has used.
+  struct Used {
+    absl::Time started;
+    uint64_t version = 0;
+  };
+
   /// By node: the version that its last broken promise was about.
   std::vector<uint64_t> reported_;
+  std::vector<Used> used_;
   absl::Time next_ = absl::InfinitePast();
   int checks_ = 0;
   std::vector<std::string> broken_;
--- a/standins/packet_fleet/fault_injector.h
+++ b/standins/packet_fleet/fault_injector.h
@@ -37,6 +37,14 @@
   /// Whether an unplanned fault of the node or its target was in force between
   /// the two times, or less than the stable window before.
   bool WasDisturbed(size_t node, absl::Time from, absl::Time to) const;
+  /// When the running process of a node was started; the infinite past for the
+  /// first one.
+  absl::Time started(size_t node) const { return nodes_[node].started; }
+  /// Whether the process of a node runs and is not paused.
+  bool IsRunning(size_t node) const {
+    return nodes_[node].phase != NodeState::Phase::kDown &&
+           !nodes_[node].paused;
+  }
   /// Whether the node is as it was started, without anything to come.
   bool IsSteady(size_t node, absl::Time now) const;
   /// When the store or the way to it was last disturbed.
@@ -112,6 +120,8 @@
   void HarmStore();
   void HarmStorePath();
   void ForgetHistory();
+  void RestoreStore();
+  void WriteAgain();
 
   void PollNode(size_t index, absl::Time now);
   void CheckExitCode(size_t index);
--- a/standins/packet_fleet/fault_kinds.cc
+++ b/standins/packet_fleet/fault_kinds.cc
@@ -14,6 +14,11 @@
 constexpr int kBriefMs = 200;
 /// Changes of routes in one series, and the time between two of them.
 constexpr int kMaxMoves = 6;
+/// Changes that a restored store loses are fewer than this.
+constexpr int kMaxLostChanges = 9;
+/// Longest time until the operator writes again after a restore.
+constexpr int kMaxRewriteMs = 1000;
+constexpr int kRewriteRetryMs = 100;
 constexpr int kMaxMoveGapMs = 1500;
 
 }  // namespace
@@ -91,6 +96,8 @@
       return KillMany();
     case FaultKind::kForgetHistory:
       return ForgetHistory();
+    case FaultKind::kRestoreStore:
+      return RestoreStore();
     case FaultKind::kTerminateAndKill:
       Record("terminate_and_kill", name);
       Terminate(index);
@@ -335,6 +342,48 @@
   At(end, true, [this] { fleet_.store().SetFault(Fault{}); });
 }
 
+/// The store returns to a copy of this moment some seconds later, while it is
+/// away or at once, after changes that it loses. Then the operator writes the
+/// present configuration again.
+void FaultInjector::RestoreStore() {
+  Record("store_copied");
+  fleet_.store().TakeCopy();
+  const absl::Time now = MonotonicNow();
+  const absl::Duration age = Draw(kLeastAwayMs, kMostAwayMs);
+  const absl::Time restored = now + age;
+  for (int i = static_cast<int>(random_() % kMaxLostChanges); i > 0; --i) {
+    const int change = static_cast<int>(random_() % 3);
+    At(now + Draw(0, static_cast<int>(absl::ToInt64Milliseconds(age))), false,
+       [this, change] { ChangeConfiguration(change); });
+  }
+  const bool goes_away = random_() % 2 == 0;
+  const absl::Time written = restored + Draw(0, kMaxRewriteMs);
+  store_until_ = std::max(store_until_, written);
+  if (goes_away) {
+    At(restored - Draw(0, kLeastAwayMs), true,
+       [this] { fleet_.store_path().SetFault(StreamFault::kReset); });
+  }
+  At(restored, true, [this, goes_away] {
+    Record("store_restored");
+    fleet_.store().Restore();
+    if (goes_away)
+      fleet_.store_path().SetFault(StreamFault::kNone);
+  });
+  At(written, true, [this] { WriteAgain(); });
+}
+
+/// Writes the present configuration again, as soon as the store takes it.
+void FaultInjector::WriteAgain() {
+  const absl::Time now = MonotonicNow();
+  store_until_ = std::max(store_until_, now);
+  const uint64_t version = fleet_.RewriteConfiguration();
+  if (version == 0)
+    At(now + absl::Milliseconds(kRewriteRetryMs), true,
+       [this] { WriteAgain(); });
+  else
+    RecordVersion(version, "written again");
+}
+
 void FaultInjector::HarmStorePath() {
   const auto fault =
       static_cast<StreamFault>(1 + random_() % (kStreamFaults - 1));
--- a/standins/packet_fleet/fleet_configuration.cc
+++ b/standins/packet_fleet/fleet_configuration.cc
@@ -51,11 +51,15 @@
 }
 
 uint64_t FleetConfiguration::Write(PlatformCore& store) {
+  ++version_;
+  return Rewrite(store);
+}
+
+uint64_t FleetConfiguration::Rewrite(PlatformCore& store) const {
   const nlohmann::json held =
       nlohmann::json::parse(store.Read(kConfigurationKey).body, nullptr, false);
   if (!held.is_object() || !held.contains("meta"))
     return 0;
-  ++version_;
   const PlatformAnswer answer = store.Write(
       kConfigurationKey, Document(), held["meta"].value("rev", uint64_t{0}));
   return answer.status == kOk ? version_ : 0;
--- a/standins/packet_fleet/fleet_configuration.h
+++ b/standins/packet_fleet/fleet_configuration.h
@@ -34,6 +34,8 @@
   /// Writes the current routes with a higher version. Returns the version, or 0
   /// without an answer of the store; the write may then have been executed.
   uint64_t Write(PlatformCore& store);
+  /// As above without a higher version.
+  uint64_t Rewrite(PlatformCore& store) const;
   /// Adds a route for the next version, with an address that an earlier route
   /// may have had.
   void AddRoute();
--- a/standins/packet_fleet/packet_fleet.cc
+++ b/standins/packet_fleet/packet_fleet.cc
@@ -88,6 +88,10 @@
   return configuration_.Write(store_->core());
 }
 
+uint64_t PacketFleet::RewriteConfiguration() {
+  return configuration_.Rewrite(store_->core());
+}
+
 uint64_t PacketFleet::AddRoute() {
   const FleetConfiguration before = configuration_;
   configuration_.AddRoute();
--- a/standins/packet_fleet/packet_fleet.h
+++ b/standins/packet_fleet/packet_fleet.h
@@ -69,7 +69,10 @@
   /// Writes the configuration with a version that is one higher. Returns the
   /// version, or 0 where the store does not take it.
   uint64_t ChangeConfiguration();
-  /// As above with one more route, which clients use at once.
+  /// Writes the present configuration again, which a restored store may have
+  /// lost. Returns its version, or 0 where the store does not take it.
+  uint64_t RewriteConfiguration();
+  /// As ChangeConfiguration() with one more route, which clients use at once.
   uint64_t AddRoute();
   /// As above with one route less; clients open no more flows with it.
   uint64_t RemoveRoute();
--- a/standins/packet_fleet/soak_profile.cc
+++ b/standins/packet_fleet/soak_profile.cc
@@ -77,6 +77,23 @@
   return profile;
 }
 
+/// A store that comes back from older copies, also in quick succession, beside
+/// changes of the configuration, other faults of the store and nodes that are
+/// restarted or killed.
+SoakProfile MakeRestores() {
+  SoakProfile profile;
+  profile.planned = {FaultKind::kChangeRoutes, FaultKind::kRollEntries,
+                     FaultKind::kRollAgents, FaultKind::kTerminateMany};
+  profile.unplanned = {FaultKind::kRestoreStore, FaultKind::kRestoreStore,
+                       FaultKind::kRestoreStore, FaultKind::kForgetHistory,
+                       FaultKind::kHarmStore,    FaultKind::kHarmStorePath,
+                       FaultKind::kKill,         FaultKind::kPause,
+                       FaultKind::kKillEntries};
+  profile.max_gap_ms = 3000;
+  profile.max_absence_ms = 800;
+  return profile;
+}
+
 /// Routes that change their services, come and go, while the flows move to
 /// other entries. Nothing unplanned excuses a reset.
 SoakProfile MakeRoutes() {
@@ -105,10 +122,13 @@
     profile = MakeChanges();
   } else if (name == "routes") {
     profile = MakeRoutes();
+  } else if (name == "restores") {
+    profile = MakeRestores();
   } else {
     return MakeError(ErrorKind::kInvalidArgument,
                      absl::StrCat("no profile \"", std::string(name), "\""),
-                     "choose usual, overlap, rolls, large, changes or routes");
+                     "choose usual, overlap, rolls, large, changes, routes or "
+                     "restores");
   }
   profile.name = std::string(name);
   return profile;
--- a/standins/packet_fleet/soak_profile.h
+++ b/standins/packet_fleet/soak_profile.h
@@ -38,6 +38,7 @@
   kPauseInBurst,
   kCrashTargetBriefly,
   kForgetHistory,
+  kRestoreStore,
 };
 
 /// Which faults a soak draws, how close they are, and the load beside them.
@@ -60,7 +61,8 @@
   /// Least share of requests that is answered after the faults.
   double least_served = 0.97;
 
-  /// Returns the profile usual, overlap, rolls, large, changes or routes.
+  /// Returns the profile usual, overlap, rolls, large, changes, routes or
+  /// restores.
   /// Errors: kInvalidArgument. Thread-safe.
   static Result<SoakProfile> Find(absl::string_view name);
 
--- a/tools/skylarkshunt-soak/main.cc
+++ b/tools/skylarkshunt-soak/main.cc
@@ -115,7 +115,8 @@
       "requests-per-second", po::value(&settings.requests_per_second),
       "new flows per second outside bursts")(
       "profile", po::value(&settings.profile),
-      "usual, overlap, rolls, large, changes or routes: which faults, and "
+      "usual, overlap, rolls, large, changes, routes or restores: which "
+      "faults, and "
       "how they overlap")("work", po::value(&settings.work),
                           "folder for settings and logs")("help",
                                                           "print this text");
