End a scheduled check of the registration once a list has made it

Cause: an isolated agent lists the nodes each second, which checks its registration as well. A check that was scheduled before kept its time, and once that had passed the agent's loop did not wait at all.

Change: the scheduled time is taken back where the list came first. Doc comments of the revision and of the exchange of configurations name preconditions, units and thread safety. Found by reading the change; no test, since nothing but processor time shows it.

--- a/include/skylarkshunt/base/ids.h
+++ b/include/skylarkshunt/base/ids.h
@@ -31,8 +31,7 @@
 
 /// Place of a change in the history of the platform's object store; it orders
 /// configuration. The upper 16 bits are the epoch, the others count the changes
-/// up to it. So a change after a restore follows all changes before it, as with
-/// the transaction ids of ZooKeeper.
+/// up to it. So a change after a restore follows all changes before it.
 enum class Revision : uint64_t {};
 
 inline constexpr int kRevisionCountBits = 48;
@@ -46,15 +45,18 @@
   return static_cast<uint64_t>(id);
 }
 
-/// Precondition: `count` is at most kMaxRevisionCount.
+/// Returns the revision of the change `count` in `epoch`. Precondition: `count`
+/// is at most kMaxRevisionCount. Thread-safe, as are the next two.
 constexpr Revision MakeRevision(Epoch epoch, uint64_t count) {
   return Revision{ToNumber(epoch) << kRevisionCountBits | count};
 }
 
+/// Returns the epoch in which `revision` was given out.
 constexpr Epoch EpochOf(Revision revision) {
   return Epoch{static_cast<uint16_t>(ToNumber(revision) >> kRevisionCountBits)};
 }
 
+/// Returns the number of changes up to `revision`, unique within its epoch.
 constexpr uint64_t CountOf(Revision revision) {
   return ToNumber(revision) & kMaxRevisionCount;
 }
--- a/include/skylarkshunt/forwarding/configuration_exchange.h
+++ b/include/skylarkshunt/forwarding/configuration_exchange.h
@@ -17,7 +17,7 @@
 /// follows from their reports. A node reports to all others, or in a large
 /// fleet to some that do the same, when it has a new configuration; to a node
 /// that appears; and once a second to a few nodes in turn, which repairs lost
-/// reports. Pure and not thread-safe.
+/// reports. Pure and not thread-safe. No method has a precondition.
 class ConfigurationExchange {
  public:
   enum class Outcome : uint8_t {
@@ -30,6 +30,7 @@
   explicit ConfigurationExchange(size_t regular_receivers)
       : regular_receivers_(regular_receivers) {}
 
+  /// Returns the configuration of this node; version 0 if it has none.
   const ConfigurationId& held() const { return held_; }
   /// Records that this node has the configuration `held`. Returns the nodes to
   /// report it to.
@@ -37,6 +38,7 @@
                                 NodeDirectory& nodes,
                                 absl::Time now);
   ConfigurationReport MakeReport() const { return {held_}; }
+  /// Compares the configuration of another node with held().
   Outcome OnReport(const ConfigurationReport& report) const;
   /// Returns the receivers of the regular report, of which there is one in a
   /// second.
--- a/include/skylarkshunt/forwarding/receiver_turn.h
+++ b/include/skylarkshunt/forwarding/receiver_turn.h
@@ -11,8 +11,8 @@
 /// not grow with the fleet. Pure and not thread-safe.
 class ReceiverTurn {
  public:
-  /// Returns at most `limit` of the addresses in `present`, those that follow
-  /// the last one returned.
+  /// Returns at most `limit` of the addresses in `present`: those that follow
+  /// the last one returned, in ascending order and then from the lowest one.
   std::vector<uint32_t> Next(std::vector<uint32_t> present, size_t limit);
 
  private:
--- a/lib/node/configuration_follower.cc
+++ b/lib/node/configuration_follower.cc
@@ -504,8 +504,11 @@
   bool CheckRegistrationWhenDue(absl::Time now) {
     const Epoch epoch =
         std::max(EpochOf(held().revision), EpochOf(position_.revision()));
-    if (ToNumber(epoch) <= ToNumber(checked_epoch_))
+    if (ToNumber(epoch) <= ToNumber(checked_epoch_)) {
+      // A list of nodes may have come before the check.
+      next_registration_ = absl::InfiniteFuture();
       return false;
+    }
     if (next_registration_ == absl::InfiniteFuture()) {
       const absl::Duration spread = kRegistrationSpread *
                                     absl::Seconds(listed_nodes_) /
--- a/lib/node/entry_loop.cc
+++ b/lib/node/entry_loop.cc
@@ -29,8 +29,8 @@
 /// the report, and successive reports cover a fleet of 300 nodes within about
 /// 13 s.
 constexpr size_t kUsualReportedNodes = 24;
-/// Number of nodes that get the regular report of the configuration. In the
-/// planned fleet of 530 entries and 5,100 agents, each node gets one in 1.3 s.
+/// Number of nodes that get the regular report of the configuration. Each node
+/// gets one about every second as long as an eighth of the nodes are entries.
 constexpr size_t kRegularReceivers = 8;
 /// Time after which an entry without agents reports that it is ready, because
 /// it can then refuse flows at once.
