Judge rule CONFIG after the faults of the store have ended early

The soak ends all faults at its end, but kept the times at which they would have ended. The end of the faults now counts.

--- a/standins/packet_fleet/fault_injector.cc
+++ b/standins/packet_fleet/fault_injector.cc
@@ -93,6 +93,8 @@
       PollNode(i, MonotonicNow());
     absl::SleepFor(kRound);
   }
+  // All faults of the store have ended, some of them early.
+  store_until_ = std::min(store_until_, MonotonicNow());
 }
 
 void FaultInjector::Cause(absl::Time now) {
