Show the version of the configuration in the status of nodes

The column showed the revision, whose count no longer says which of two nodes has the newer configuration. The test expects the version of its node.

--- a/lib/ctl/node_commands.cc
+++ b/lib/ctl/node_commands.cc
@@ -50,11 +50,13 @@
   return addresses;
 }
 
+/// Returns the version of the configuration. Unlike its revision, it says which
+/// of two nodes has the newer one.
 std::string ConfigurationOf(const json& status) {
   const auto configuration = status.find("configuration");
   return configuration == status.end() || !configuration->is_object()
              ? "?"
-             : Text(*configuration, "revision");
+             : Text(*configuration, "version");
 }
 
 }  // namespace
--- a/unittests/ctl/node_view_test.cc
+++ b/unittests/ctl/node_view_test.cc
@@ -11,7 +11,7 @@
 std::string NodeAnswer(const std::string& path) {
   if (path == "/node") {
     return R"({"name":"side-zh-a-1","role":"agent","ready":true,
-      "configuration":{"revision":23,"version":7},"nodes":[],
+      "configuration":{"revision":23,"epoch":2,"version":71},"nodes":[],
       "load":{"state":"serving","busy":3,"slots":4,"open_flows":9,
               "service_time_us":25000,"pending_work_us":7104,"failing_permille":310},
       "admission":{"waiting":31,"in_time":8,"overloaded_ms":4321}})";
@@ -39,7 +39,7 @@
     AdminServer node(NodeAnswer);
     CPPUNIT_ASSERT(Run(node, {"node", "status"}) == ExitCode::kOk);
     for (const char* part :
-         {"side-zh-a-1", "agent", "serving", "23", "25000", "7104", "310",
+         {"side-zh-a-1", "agent", "serving", "71", "25000", "7104", "310",
           "FAILING_PERMILLE", "4321", "OVERLOADED_MS"}) {
       CPPUNIT_ASSERT_MESSAGE(ctl_.out(), Contains(ctl_.out(), part));
     }
