--- a/unittests/node/store_restore_test.cc
+++ b/unittests/node/store_restore_test.cc
@@ -65,12 +65,7 @@
   // Guards against a confirmed configuration that is taken for the one in
   // force, since the restored store gave it a revision of before.
   void ChangeUnderAReissuedRevisionIsPutIntoForce() {
-    Follow();
-    CPPUNIT_ASSERT(received_.Await(1));
-    store_->core().TakeCopy();
-    for (int version = 2; version <= 5; ++version)
-      WriteConfiguration(version);
-    CPPUNIT_ASSERT(received_.Await(5));
+    FollowAndLoseVersions(5);
     store_->core().Restore();
     WriteConfiguration(5);
     WriteConfiguration(6);
@@ -80,12 +75,7 @@
   // Guards against a change that no watch reports, since the restored store has
   // given out revisions beyond the position of the watch before the node asks.
   void ChangeBelowAReissuedPositionIsFound() {
-    Follow();
-    CPPUNIT_ASSERT(received_.Await(1));
-    store_->core().TakeCopy();
-    for (int version = 2; version <= 5; ++version)
-      WriteConfiguration(version);
-    CPPUNIT_ASSERT(received_.Await(5));
+    FollowAndLoseVersions(5);
     path_->SetFault(StreamFault::kReset);
     store_->core().Restore();
     WriteConfiguration(6);
@@ -97,11 +87,7 @@
   // Guards against a node that was cut off from the store and compares the next
   // epoch only.
   void ChangeAfterTwoMissedRestoresIsFound() {
-    Follow();
-    CPPUNIT_ASSERT(received_.Await(1));
-    store_->core().TakeCopy();
-    WriteConfiguration(2);
-    CPPUNIT_ASSERT(received_.Await(2));
+    FollowAndLoseVersions(2);
     path_->SetFault(StreamFault::kReset);
     for (int restore = 0; restore < 2; ++restore) {
       store_->core().Restore();
@@ -122,11 +108,7 @@
     PlatformServer::Options options;
     options.core.reports_epoch = false;
     StartStore(options);
-    Follow();
-    CPPUNIT_ASSERT(received_.Await(1));
-    store_->core().TakeCopy();
-    WriteConfiguration(2);
-    CPPUNIT_ASSERT(received_.Await(2));
+    FollowAndLoseVersions(2);
     store_->core().Restore();
     WriteConfiguration(3);
     store_->core().SetFault(
@@ -137,12 +119,7 @@
   // Guards against a confirmed version that is taken back by the restored
   // store, whose revisions are higher, before the operator has written again.
   void OlderVersionOfARestoredStoreIsNotTaken() {
-    Follow();
-    CPPUNIT_ASSERT(received_.Await(1));
-    store_->core().TakeCopy();
-    for (int version = 2; version <= 5; ++version)
-      WriteConfiguration(version);
-    CPPUNIT_ASSERT(received_.Await(5));
+    FollowAndLoseVersions(5);
     store_->core().Restore();
     WriteOtherObjects();
     AwaitMetric("skylarkshunt_store_configuration_outdated 1");
@@ -230,6 +207,16 @@
   }
 
  private:
+  /// Follows the store, whose copy has version 1, up to version `last`.
+  void FollowAndLoseVersions(int last) {
+    Follow();
+    CPPUNIT_ASSERT(received_.Await(1));
+    store_->core().TakeCopy();
+    for (int version = 2; version <= last; ++version)
+      WriteConfiguration(version);
+    CPPUNIT_ASSERT(received_.Await(static_cast<uint64_t>(last)));
+  }
+
   PlatformAnswer Read(const char* key) {
     ++test_reads_;
     return store_->core().Read(key);
